--- /dev/null
+++ b/internal/arch/arch_test.go
@@ -0,0 +1,102 @@
+// Package arch holds the tests of the import rules between packages.
+package arch
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// decisionPackages are pure: they take events and times and return actions.
+var decisionPackages = []string{
+	"admission", "config", "configuration", "control", "coordinator", "dispatch", "endpoint",
+	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
+}
+
+// allowedStandard are the standard packages that a decision package may import.
+// None does I/O or starts a goroutine.
+var allowedStandard = map[string]bool{
+	"bytes": true, "cmp": true, "container/heap": true, "container/list": true, "crypto/sha256": true,
+	"encoding/base64": true, "encoding/binary": true, "encoding/hex": true, "encoding/json": true, "errors": true,
+	"fmt": true, "hash/fnv": true, "io": true, "iter": true, "maps": true, "math": true, "math/bits": true,
+	"math/rand/v2": true, "net/netip": true, "reflect": true, "regexp": true, "slices": true, "sort": true, "strconv": true,
+	"strings": true, "time": true, "unicode": true, "unicode/utf8": true,
+}
+
+// allowedModules are the libraries that a decision package may import.
+var allowedModules = map[string]bool{
+	"github.com/cespare/xxhash/v2":            true,
+	"github.com/dgryski/go-rendezvous":        true,
+	"github.com/rotisserie/eris":              true,
+	"github.com/tailscale/hujson":             true,
+	"github.com/invopop/jsonschema":           true,
+	"github.com/HdrHistogram/hdrhistogram-go": true,
+}
+
+// forbiddenCalls read the clock or a global random source.
+var forbiddenCalls = []string{
+	"time.Now(", "time.Since(", "time.Until(", "time.Sleep(", "time.After(", "time.AfterFunc(", "time.NewTimer(",
+	"time.NewTicker(", "rand.Int(", "rand.IntN(", "rand.Float64(", "rand.Uint64(", "rand.N(", "rand.Shuffle(", "rand.Perm(",
+}
+
+const internalPrefix = "github.com/gypsumlug/gypsumlug/internal/"
+
+func sourceFiles(t *testing.T, pkg string) []string {
+	t.Helper()
+	all, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, f := range all {
+		if !strings.HasSuffix(f, "_test.go") {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func TestDecisionPackagesImportNoAdapter(t *testing.T) {
+	decision := make(map[string]bool)
+	for _, p := range decisionPackages {
+		decision[internalPrefix+p] = true
+	}
+	for _, pkg := range decisionPackages {
+		for _, file := range sourceFiles(t, pkg) {
+			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			for _, spec := range parsed.Imports {
+				path, _ := strconv.Unquote(spec.Path.Value)
+				if !allowedStandard[path] && !allowedModules[path] && !decision[path] {
+					t.Errorf("%s imports %s, which a decision package may not", file, path)
+				}
+			}
+		}
+	}
+}
+
+func TestDecisionPackagesReadNoClock(t *testing.T) {
+	for _, pkg := range decisionPackages {
+		for _, file := range sourceFiles(t, pkg) {
+			source, err := os.ReadFile(file)
+			NewWithT(t).Expect(err).NotTo(HaveOccurred())
+			for _, call := range forbiddenCalls {
+				if strings.Contains(string(source), call) {
+					t.Errorf("%s calls %s)", file, call)
+				}
+			}
+			if goStatement.Match(source) {
+				t.Errorf("%s starts a goroutine", file)
+			}
+		}
+	}
+}
+
+var goStatement = regexp.MustCompile(`(?m)^\s*go (func|[a-zA-Z_.]+)\(`)
