Carry messages between hosts over framed TCP connections

Hosts need heartbeats, dispatches, replies, submits and documents carried, and the coordinator must tell "not run" from "unknown" when a hop fails.

Hellos are framed one version lower than this build's, which lets adjacent versions agree.

The msgpack decoder allocates an array by its declared length: a 22-byte frame made the fuzz target run out of memory. Payloads are now walked first, with bounds on elements and nesting.

New: kinds 13 to 17 and their messages in peerwire, result code 344 peer-queue-full.

--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,150 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+const (
+	// MaxFrameBytes bounds a frame without its length prefix.
+	MaxFrameBytes = 4 << 20
+
+	lengthBytes      = 4
+	versionOffset    = lengthBytes
+	kindOffset       = versionOffset + 1
+	correlationStart = kindOffset + 1
+	headerBytes      = correlationStart + 8
+	minFrameBytes    = headerBytes - lengthBytes
+
+	// readStepBytes bounds what is allocated before the bytes have arrived, so
+	// that a false length costs no memory.
+	readStepBytes = 64 << 10
+)
+
+// Frame is one message on the wire: a 4-byte big-endian length of the rest, a
+// version byte, a kind byte, an 8-byte correlation ID and a msgpack payload.
+type Frame struct {
+	Version uint8
+	Kind    peerwire.Kind
+	// ID matches an answer to its request; it is zero for one-way messages.
+	ID      uint64
+	Payload []byte
+}
+
+// AppendFrame appends the frame of a message to dst. It returns a *result.Error
+// with code FrameTooLarge or FrameInvalid, and dst as it was, if the message
+// cannot be framed.
+func AppendFrame(dst []byte, version uint8, kind peerwire.Kind, id uint64, message any) ([]byte, error) {
+	buffer := bytes.NewBuffer(dst)
+	var header [headerBytes]byte
+	header[versionOffset] = version
+	header[kindOffset] = byte(kind)
+	binary.BigEndian.PutUint64(header[correlationStart:], id)
+	buffer.Write(header[:])
+	if message != nil {
+		if err := encode(buffer, message); err != nil {
+			return dst, result.Errorf(result.FrameInvalid, "encoding %s: %v", kind, err)
+		}
+	}
+	out := buffer.Bytes()
+	length := len(out) - len(dst) - lengthBytes
+	if length > MaxFrameBytes {
+		return dst, result.Errorf(result.FrameTooLarge, "%s has %d bytes, at most %d are allowed", kind, length, MaxFrameBytes)
+	}
+	binary.BigEndian.PutUint32(out[len(dst):], uint32(length))
+	return out, nil
+}
+
+func encode(w io.Writer, message any) error {
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	encoder.Reset(w)
+	encoder.UseCompactInts(true)
+	return encoder.Encode(message)
+}
+
+// ReadFrame reads one frame. It returns io.EOF at the end of the stream between
+// frames, and otherwise a *result.Error with code FrameInvalid, FrameTooLarge
+// or FrameVersion, after which no further frame can be read. It accepts unknown
+// kinds, so that the caller can refuse just this frame.
+func ReadFrame(r *bufio.Reader) (Frame, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:lengthBytes]); err != nil {
+		if errors.Is(err, io.EOF) {
+			return Frame{}, io.EOF
+		}
+		return Frame{}, torn(err)
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length > MaxFrameBytes {
+		return Frame{}, result.Errorf(result.FrameTooLarge, "the frame has %d bytes, at most %d are allowed", length, MaxFrameBytes)
+	}
+	if length < minFrameBytes {
+		return Frame{}, result.Errorf(result.FrameInvalid, "the frame has %d bytes, at least %d are needed", length, minFrameBytes)
+	}
+	if _, err := io.ReadFull(r, header[lengthBytes:]); err != nil {
+		return Frame{}, torn(err)
+	}
+	frame := Frame{
+		Version: header[versionOffset],
+		Kind:    peerwire.Kind(header[kindOffset]),
+		ID:      binary.BigEndian.Uint64(header[correlationStart:]),
+	}
+	if !acceptedVersion(frame.Version) {
+		return frame, result.Errorf(result.FrameVersion, "frame version %d is not known, this host has %d", frame.Version, peerwire.Version)
+	}
+	payload, err := readPayload(r, int(length)-minFrameBytes)
+	if err != nil {
+		return frame, torn(err)
+	}
+	frame.Payload = payload
+	return frame, nil
+}
+
+func readPayload(r io.Reader, size int) ([]byte, error) {
+	payload := make([]byte, 0, min(size, readStepBytes))
+	for len(payload) < size {
+		start := len(payload)
+		payload = append(payload, make([]byte, min(size-start, readStepBytes))...)
+		if _, err := io.ReadFull(r, payload[start:]); err != nil {
+			return nil, err
+		}
+	}
+	return payload, nil
+}
+
+// acceptedVersion reports whether v is this build's version or the one before.
+func acceptedVersion(v uint8) bool {
+	return v == peerwire.Version || v+1 == peerwire.Version
+}
+
+// Decode decodes the payload into a message of the frame's kind. Bytes after
+// the message are an error.
+func (f Frame) Decode(message any) error {
+	if err := checkBounds(f.Payload); err != nil {
+		return err
+	}
+	reader := bytes.NewReader(f.Payload)
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(reader)
+	if err := decoder.Decode(message); err != nil {
+		return result.Errorf(result.FrameInvalid, "decoding %s: %v", f.Kind, err)
+	}
+	if reader.Len() > 0 {
+		return result.Errorf(result.FrameInvalid, "%s has %d bytes after the message", f.Kind, reader.Len())
+	}
+	return nil
+}
+
+func torn(err error) error {
+	return result.Errorf(result.FrameInvalid, "the frame is torn: %v", err)
+}
--- /dev/null
+++ b/internal/peer/hello.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// helloVersion frames hellos, since the other side may be one version older.
+const helloVersion = peerwire.Version - 1
+
+func sendHello(conn net.Conn, self string) error {
+	hello := peerwire.Hello{From: self, Version: peerwire.Version}
+	data, err := AppendFrame(nil, helloVersion, peerwire.KindHello, 0, hello)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(data)
+	return err
+}
+
+// readHello reads the first frame of a connection. The other side's version
+// must be this build's, the one before or the one after.
+func readHello(reader *bufio.Reader) (peerwire.Hello, error) {
+	var hello peerwire.Hello
+	frame, err := ReadFrame(reader)
+	if err != nil {
+		return hello, err
+	}
+	if frame.Kind != peerwire.KindHello {
+		return hello, result.Errorf(result.FrameInvalid, "the first frame is a %s, not a hello", frame.Kind)
+	}
+	if err := frame.Decode(&hello); err != nil {
+		return hello, err
+	}
+	if hello.Version+1 < peerwire.Version || hello.Version > peerwire.Version+1 {
+		return hello, result.Errorf(result.FrameVersion, "the peer has version %d, this host %d", hello.Version, peerwire.Version)
+	}
+	if hello.From == "" {
+		return hello, result.Errorf(result.FrameInvalid, "the hello names no sender")
+	}
+	return hello, nil
+}
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -37,8 +37,58 @@
 	KindSubmitAnswer    Kind = 10
 	KindHandover        Kind = 11
 	KindHandoverAnswer  Kind = 12
+	KindHello           Kind = 13
+	KindPing            Kind = 14
+	KindPong            Kind = 15
+	KindGoodbye         Kind = 16
+	KindRefusal         Kind = 17
 )
 
+var kindNames = map[Kind]string{
+	KindHeartbeat:       "heartbeat",
+	KindManifestRequest: "manifest-request",
+	KindManifest:        "manifest",
+	KindDocumentRequest: "document-request",
+	KindDocument:        "document",
+	KindDispatch:        "dispatch",
+	KindReplies:         "replies",
+	KindCancel:          "cancel",
+	KindSubmit:          "submit",
+	KindSubmitAnswer:    "submit-answer",
+	KindHandover:        "handover",
+	KindHandoverAnswer:  "handover-answer",
+	KindHello:           "hello",
+	KindPing:            "ping",
+	KindPong:            "pong",
+	KindGoodbye:         "goodbye",
+	KindRefusal:         "refusal",
+}
+
+// Valid reports whether this version knows k.
+func (k Kind) Valid() bool { return kindNames[k] != "" }
+
+// String returns the name of k, which metrics use as a label.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// Hello is the first frame in each direction of a connection. It is framed in
+// Version-1, since the other side may be one version older; the frames that
+// follow are framed in the lower Version of the two.
+type Hello struct {
+	// From is the sender's peer address, to which replies are sent.
+	From    string `msgpack:"f"`
+	Version uint8  `msgpack:"v"`
+}
+
+// Refusal answers a request frame that was not handled.
+type Refusal struct {
+	Code result.Code `msgpack:"c"`
+}
+
 // Heartbeat spreads a host's state and hints about others.
 type Heartbeat struct {
 	From       view.Incarnation `msgpack:"f"`
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -116,6 +116,8 @@
 	CancelledBeforeSend Code = 342
 	// SuspectBusy: another attempt of the same crash suspect is running.
 	SuspectBusy Code = 343
+	// PeerQueueFull: the send queue of the peer is full and nothing was sent to it.
+	PeerQueueFull Code = 344
 	// OutcomeUnknown: the request was sent and no outcome is known.
 	OutcomeUnknown Code = 400
 	// IssuerUnreachable: the permit's host cannot be reached.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -58,6 +58,7 @@
 	{Code: StaleBelief, Name: "stale-belief", Meaning: "The host paused and refreshes its beliefs before it dispatches.", Action: "Internal."},
 	{Code: CancelledBeforeSend, Name: "cancelled-before-send", Meaning: "The dispatch was cancelled before its first byte was written.", Action: "Internal."},
 	{Code: SuspectBusy, Name: "suspect-busy", Meaning: "Another attempt of the same crash suspect is running.", Action: "Internal: tried again later."},
+	{Code: PeerQueueFull, Name: "peer-queue-full", Meaning: "The send queue of the peer is full and nothing was sent to it.", Action: "Retry; operators: look for a slow or overloaded host."},
 	{Code: OutcomeUnknown, Name: "outcome-unknown", Meaning: "The request was sent and no outcome is known.", Action: "Do not repeat it; settle it with the endpoint's owner by the permit ID."},
 	{Code: IssuerUnreachable, Name: "issuer-unreachable", Meaning: "The permit's host cannot be reached.", Action: "Submit the same permit again later."},
 	{Code: IssuerReplaced, Name: "issuer-replaced", Meaning: "The permit's host restarted or was replaced.", Action: "Settle it with the endpoint's owner by the permit ID."},
