--- /dev/null
+++ b/internal/endpointhttp/client.go
@@ -0,0 +1,220 @@
+package endpointhttp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout   = 500 * time.Millisecond
+	DefaultProbeInterval = 2 * time.Second
+	DefaultProbeTimeout  = 500 * time.Millisecond
+	DefaultFreshness     = 20 * time.Millisecond
+	DefaultCancelGrace   = 250 * time.Millisecond
+)
+
+// CloseReason tells why a connection was closed.
+type CloseReason string
+
+// The reasons for closing a connection.
+const (
+	CloseSilent   CloseReason = "silent"
+	CloseTimeout  CloseReason = "timeout"
+	CloseBroken   CloseReason = "broken"
+	CloseProtocol CloseReason = "protocol"
+	CloseSurplus  CloseReason = "surplus"
+	CloseRemoved  CloseReason = "removed"
+	CloseByPeer   CloseReason = "closed-by-endpoint"
+)
+
+// Options configure a Client. Zero durations mean the defaults.
+type Options struct {
+	DialTimeout time.Duration
+	// ProbeInterval is how long a connection may idle before it is probed.
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	// Freshness is how recent a reply must be to prove a connection alive.
+	Freshness time.Duration
+	// CancelGrace is how long a cancelled request may still take to reply.
+	CancelGrace time.Duration
+	// OnStatus receives the replies to probes; it may be nil.
+	OnStatus func(endpoint string, status endpointapi.Status)
+	// OnOpen and OnClose observe connections; they may be nil.
+	OnOpen  func(endpoint string, err error)
+	OnClose func(endpoint string, reason CloseReason)
+	// Dial opens a connection; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Target says how to reach an endpoint.
+type Target struct {
+	Endpoint string
+	Address  string
+	// Warm connections are opened ahead of need and kept.
+	Warm int
+	// Max bounds the open connections.
+	Max int
+}
+
+// Client holds the connections of one host to its endpoints.
+// It is safe for concurrent use.
+type Client struct {
+	opts Options
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu    sync.RWMutex
+	pools map[string]*pool
+}
+
+// New returns a client without targets. Close releases it.
+func New(opts Options) *Client {
+	opts.setDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Client{opts: opts, ctx: ctx, stop: stop, pools: make(map[string]*pool)}
+	c.wg.Go(c.probeLoop)
+	return c
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.ProbeInterval, DefaultProbeInterval)
+	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&o.Freshness, DefaultFreshness)
+	setDefault(&o.CancelGrace, DefaultCancelGrace)
+	if o.OnStatus == nil {
+		o.OnStatus = func(string, endpointapi.Status) {}
+	}
+	if o.OnOpen == nil {
+		o.OnOpen = func(string, error) {}
+	}
+	if o.OnClose == nil {
+		o.OnClose = func(string, CloseReason) {}
+	}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// SetTarget adds an endpoint or changes its limits. A changed address closes
+// the connections to the old one as they become idle.
+func (c *Client) SetTarget(t Target) {
+	c.mu.Lock()
+	p := c.pools[t.Endpoint]
+	if p != nil && p.address != t.Address {
+		p.remove()
+		p = nil
+	}
+	if p == nil {
+		p = newPool(c, t)
+		c.pools[t.Endpoint] = p
+	}
+	c.mu.Unlock()
+	p.setLimits(t.Warm, t.Max)
+}
+
+// RemoveTarget closes the connections of an endpoint as they become idle.
+func (c *Client) RemoveTarget(endpoint string) {
+	c.mu.Lock()
+	p := c.pools[endpoint]
+	delete(c.pools, endpoint)
+	c.mu.Unlock()
+	if p != nil {
+		p.remove()
+	}
+}
+
+// Send carries an attempt to its endpoint and calls done exactly once, from
+// another goroutine, with what is known of it.
+func (c *Client) Send(req dispatch.Request, done func(dispatch.Reply)) {
+	p := c.pool(req.Endpoint)
+	if p == nil {
+		go done(req.Refuse(result.UnknownEndpoint))
+		return
+	}
+	p.submit(newJob(req, done))
+}
+
+// Cancel withdraws an attempt. An attempt that was not written is refused; the
+// endpoint is told to give up one that was.
+func (c *Client) Cancel(cancel dispatch.Cancel) {
+	if p := c.pool(cancel.Endpoint); p != nil {
+		p.cancel(cancel.Key)
+	}
+}
+
+// Connections returns the number of open connections to an endpoint.
+func (c *Client) Connections(endpoint string) int {
+	p := c.pool(endpoint)
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Close closes every connection and waits for the goroutines to end. Attempts
+// in flight end as unknown.
+func (c *Client) Close() {
+	c.stop()
+	c.mu.Lock()
+	pools := c.pools
+	c.pools = make(map[string]*pool)
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.close()
+	}
+	c.wg.Wait()
+}
+
+func (c *Client) pool(endpoint string) *pool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.pools[endpoint]
+}
+
+// probeLoop probes and trims idle connections.
+func (c *Client) probeLoop() {
+	ticker := time.NewTicker(c.opts.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+			c.maintain()
+		}
+	}
+}
+
+func (c *Client) maintain() {
+	c.mu.RLock()
+	pools := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	c.mu.RUnlock()
+	for _, p := range pools {
+		p.maintain(time.Now())
+	}
+}
--- /dev/null
+++ b/internal/query/answer.go
@@ -0,0 +1,148 @@
+package query
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+func (q *Query) giveUp(s *shard, code result.Code) {
+	if s.state != shardPending {
+		return
+	}
+	s.state = shardMissing
+	s.reason = code
+	s.waiting = false
+	q.pending--
+	q.cancelAttempts(s)
+}
+
+// expire ends the query at its target or deadline.
+func (q *Query) expire() {
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state == shardPending {
+			q.giveUp(s, expiryCode(s))
+		}
+	}
+	q.finish()
+}
+
+// expiryCode tells why a pending shard is missing when time is up.
+func expiryCode(s *shard) result.Code {
+	if len(s.open) > 0 || s.reason == 0 {
+		return result.MissingDeadline
+	}
+	return missingCode(s.reason)
+}
+
+// missingCode maps the code of a shard's last attempt to a reason.
+func missingCode(code result.Code) result.Code {
+	switch code {
+	case result.SnapshotGone:
+		return result.MissingSnapshotGone
+	case result.RangeNotHeld:
+		return result.MissingMoved
+	case result.EndpointCrashed, result.ConnectionSilent, result.OutcomeUnknown, result.ConnectFailed, result.PeerUnreachable:
+		return result.MissingLost
+	case result.EndpointFailed, result.BadReply:
+		return result.MissingFailed
+	case result.ExpiredBeforeSend, result.Cancelled:
+		return result.MissingDeadline
+	default:
+		return result.MissingRefused
+	}
+}
+
+func (q *Query) finishIfComplete() {
+	if !q.done && q.pending == 0 {
+		q.finish()
+	}
+}
+
+func (q *Query) finishNotRun(code result.Code) {
+	q.done = true
+	q.out.Answer = &Answer{Code: code}
+}
+
+func (q *Query) finish() {
+	q.cancelOpen()
+	q.done = true
+	a := &Answer{Snapshot: q.snapshot.ID, Shards: len(q.shards), Dispatched: q.dispatched}
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state == shardCovered {
+			a.Covered++
+			continue
+		}
+		a.Missing = append(a.Missing, Missing{Range: s.keys, Code: s.reason})
+	}
+	a.Hits, a.Truncated = q.merge()
+	a.Code = q.code(a)
+	q.out.Answer = a
+}
+
+func (q *Query) code(a *Answer) result.Code {
+	switch {
+	case a.Covered == 0 && !q.mayHaveRun:
+		return notRunCode(a.Missing)
+	case len(a.Missing) > 0:
+		return result.Partial
+	case a.Truncated && q.p.Limit == q.p.Service.MaxHits:
+		return result.Truncated
+	default:
+		return result.Complete
+	}
+}
+
+// notRunCode tells why no attempt of a query started.
+func notRunCode(missing []Missing) result.Code {
+	for _, m := range missing {
+		if m.Code != result.MissingNoReplica {
+			return result.AllRefused
+		}
+	}
+	return result.NoReplica
+}
+
+// merge combines the hits of the covered shards. The order depends on the hits
+// alone, not on when they arrived, and a document is listed once.
+func (q *Query) merge() (hits []dispatch.Hit, truncated bool) {
+	n := 0
+	for i := range q.shards {
+		n += len(q.shards[i].hits)
+	}
+	hits = make([]dispatch.Hit, 0, n)
+	for i := range q.shards {
+		if q.shards[i].state == shardCovered {
+			hits = append(hits, q.shards[i].hits...)
+		}
+	}
+	slices.SortFunc(hits, compareHits)
+	hits = removeRepeated(hits)
+	if len(hits) > q.p.Limit {
+		return hits[:q.p.Limit:q.p.Limit], true
+	}
+	return hits, q.truncated
+}
+
+func compareHits(a, b dispatch.Hit) int {
+	return cmp.Or(
+		cmp.Compare(b.Score, a.Score),
+		cmp.Compare(a.Document, b.Document),
+		cmp.Compare(a.Key, b.Key),
+		cmp.Compare(a.Body, b.Body),
+	)
+}
+
+// removeRepeated keeps the first hit of each document.
+func removeRepeated(hits []dispatch.Hit) []dispatch.Hit {
+	seen := make(map[string]struct{}, len(hits))
+	return slices.DeleteFunc(hits, func(h dispatch.Hit) bool {
+		_, repeated := seen[h.Document]
+		seen[h.Document] = struct{}{}
+		return repeated
+	})
+}
--- /dev/null
+++ b/internal/query/attempt.go
@@ -0,0 +1,214 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// sendPrimary dispatches the first attempt of a shard, unless the query is a
+// suspect with an attempt in flight.
+func (q *Query) sendPrimary(now time.Duration, i int) {
+	if q.suspect && len(q.byAttempt) > 0 {
+		q.held = true
+		return
+	}
+	s := &q.shards[i]
+	endpoint, ok := q.p.Replicas.Pick(now, s.replicas, s.gone)
+	if !ok {
+		q.giveUp(s, result.MissingNoReplica)
+		return
+	}
+	q.p.Budgets.Primary()
+	q.send(now, i, endpoint)
+}
+
+func (q *Query) send(now time.Duration, i int, endpoint string) {
+	s := &q.shards[i]
+	q.nextAttempt++
+	q.dispatched++
+	s.waiting = false
+	s.open = append(s.open, attempt{number: q.nextAttempt, endpoint: endpoint, alone: q.suspect})
+	s.hedgeAt = now + q.p.Replicas.HedgeDelay(q.p.Service)
+	q.byAttempt[q.nextAttempt] = i
+	q.out.Dispatch = append(q.out.Dispatch, dispatch.Request{
+		Key:       dispatch.Key{Request: q.p.ID, Attempt: q.nextAttempt},
+		Operation: dispatch.Search,
+		Service:   q.p.Service.Name,
+		Endpoint:  endpoint,
+		Snapshot:  q.snapshot.ID,
+		Range:     s.keys,
+		Body:      q.p.Body,
+		Limit:     q.p.Limit,
+		Urgency:   q.p.Service.Urgency,
+		Budget:    q.p.Deadline - now,
+		Suspect:   q.suspect,
+	})
+}
+
+// attemptFailed decides what follows an attempt without a good reply.
+func (q *Query) attemptFailed(now time.Duration, i int, a attempt, r *dispatch.Reply) {
+	s := &q.shards[i]
+	s.reason = r.Code
+	switch r.Code {
+	case result.SnapshotGone, result.RangeNotHeld:
+		s.gone = addOnce(s.gone, r.Endpoint)
+	default:
+		s.tried = addOnce(s.tried, r.Endpoint)
+	}
+	if r.Code == result.EndpointCrashed {
+		if a.alone {
+			q.abandon(result.MissingQuarantined)
+			return
+		}
+		q.suspect = true
+	}
+	if len(s.open) > 0 {
+		return
+	}
+	if s.exhausted() {
+		q.snapshotLost(now, s)
+		return
+	}
+	q.scheduleRetry(now, i)
+}
+
+// abandon gives up every pending shard.
+func (q *Query) abandon(code result.Code) {
+	for i := range q.shards {
+		if q.shards[i].state == shardPending {
+			q.giveUp(&q.shards[i], code)
+		}
+	}
+}
+
+// snapshotLost handles a shard whose replicas all lack the snapshot or range.
+func (q *Query) snapshotLost(now time.Duration, s *shard) {
+	if q.restart(now) {
+		return
+	}
+	code := result.MissingSnapshotGone
+	if s.reason == result.RangeNotHeld {
+		code = result.MissingMoved
+	}
+	q.giveUp(s, code)
+}
+
+// scheduleRetry retries at once if a replica is left that was not tried and the
+// budget allows it, else after a backoff.
+func (q *Query) scheduleRetry(now time.Duration, i int) {
+	s := &q.shards[i]
+	if s.retries >= q.p.Service.Retry.Max {
+		q.giveUp(s, missingCode(s.reason))
+		return
+	}
+	s.waiting = true
+	s.retryAt = now
+	if len(s.tried) >= len(s.replicas) {
+		s.retryAt = now + q.nextBackoff(s)
+	}
+	q.retryDue(now, i)
+}
+
+func (q *Query) nextBackoff(s *shard) time.Duration {
+	s.backoff = min(max(2*s.backoff, retryBackoffMin), retryBackoffMax)
+	jitter := time.Duration(q.p.Rand.Int64N(int64(s.backoff)))
+	return s.backoff/2 + jitter/2
+}
+
+// retryDue sends the retry of a shard whose time has come.
+func (q *Query) retryDue(now time.Duration, i int) {
+	s := &q.shards[i]
+	if !s.waiting || now < s.retryAt {
+		return
+	}
+	if q.suspect && len(q.byAttempt) > 0 {
+		s.retryAt = now + retryBackoffMin
+		return
+	}
+	endpoint, ok := q.pickRetry(now, s)
+	if !ok {
+		q.giveUp(s, result.MissingNoReplica)
+		return
+	}
+	if !q.p.Budgets.TakeRetry() {
+		q.event(EventRetryDenied, s.reason)
+		s.retryAt = now + q.nextBackoff(s)
+		return
+	}
+	s.retries++
+	q.event(EventRetry, s.reason)
+	q.send(now, i, endpoint)
+}
+
+// pickRetry prefers a replica that was not tried yet.
+func (q *Query) pickRetry(now time.Duration, s *shard) (string, bool) {
+	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(s.gone, s.tried)); ok {
+		return endpoint, true
+	}
+	s.tried = s.tried[:0]
+	return q.p.Replicas.Pick(now, s.replicas, s.gone)
+}
+
+// tickShard sends what is due of one shard.
+func (q *Query) tickShard(now time.Duration, i int) {
+	s := &q.shards[i]
+	if s.state != shardPending {
+		return
+	}
+	q.retryDue(now, i)
+	q.hedgeDue(now, i)
+}
+
+func (q *Query) hedgeDue(now time.Duration, i int) {
+	s := &q.shards[i]
+	due := s.hedgeAt > 0 && now >= s.hedgeAt && len(s.open) > 0
+	if s.state != shardPending || !due || q.suspect || s.hedges >= q.p.Service.Hedge.Max {
+		return
+	}
+	s.hedgeAt = 0
+	endpoint, ok := q.pickHedge(now, s)
+	if !ok {
+		return
+	}
+	if !q.p.Budgets.TakeHedge() {
+		q.event(EventHedgeDenied, 0)
+		return
+	}
+	s.hedges++
+	q.event(EventHedge, 0)
+	q.send(now, i, endpoint)
+}
+
+// pickHedge prefers a replica without an open attempt. When each has one, the
+// hedge goes to any of them on another connection: a single slow attempt says
+// little about the endpoint.
+func (q *Query) pickHedge(now time.Duration, s *shard) (string, bool) {
+	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(s.gone, s.busy())); ok {
+		return endpoint, true
+	}
+	if len(s.open) < 2 {
+		return "", false
+	}
+	return q.p.Replicas.Pick(now, s.replicas, s.gone)
+}
+
+func (q *Query) cancelAttempts(s *shard) {
+	for _, a := range s.open {
+		delete(q.byAttempt, a.number)
+		q.out.Cancel = append(q.out.Cancel, dispatch.Cancel{
+			Key:      dispatch.Key{Request: q.p.ID, Attempt: a.number},
+			Endpoint: a.endpoint,
+		})
+		q.mayHaveRun = true
+	}
+	s.open = nil
+}
+
+func (q *Query) cancelOpen() {
+	for i := range q.shards {
+		q.cancelAttempts(&q.shards[i])
+	}
+}
--- /dev/null
+++ b/internal/query/doc.go
@@ -0,0 +1,39 @@
+// Package query implements the state machine of one query, from planning to
+// its answer.
+//
+// # Planning
+//
+// A query is pinned to one snapshot of the index when it starts: the newest
+// snapshot of which every shard has an eligible replica, else the one with the
+// best coverage. Each attempt carries the snapshot, and a reply from another
+// snapshot is never merged. If a shard's replicas no longer hold the snapshot,
+// the query restarts once, on another snapshot, and all that has arrived is
+// dropped.
+//
+// # Attempts
+//
+// Each shard gets a primary attempt. A shard that is slower than the hedge
+// delay gets a hedge on another replica, then a second one, within the
+// service's hedge budget. A refused, failed or lost attempt is retried on
+// another replica within the retry budget; without budget it waits with
+// exponential backoff. The first good reply covers the shard and cancels its
+// other attempts. A reply to a closed attempt changes nothing.
+//
+// # Crash suspects
+//
+// A query that was in flight when an endpoint crashed is a suspect. A suspect
+// has at most one attempt in flight, is never hedged, and asks for isolation on
+// the endpoint. The first attempt that survives clears it; a second crash ends
+// the query.
+//
+// # Answers
+//
+// The query is answered when every shard is covered or given up, at the latency
+// target if the service prefers latency and something is covered, and at the
+// deadline at the latest. Covered and missing ranges partition the key space of
+// the snapshot. The answer is "not run" only if every attempt was refused
+// before it started.
+//
+// The machine does no I/O and reads no clock. It is not safe for concurrent
+// use.
+package query
--- /dev/null
+++ b/internal/query/query.go
@@ -0,0 +1,305 @@
+package query
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// Replicas chooses endpoints and knows their latency.
+type Replicas interface {
+	// Eligible reports whether the endpoint may get new work.
+	Eligible(now time.Duration, endpoint string) bool
+	// Pick chooses one of candidates that is eligible and not in exclude.
+	Pick(now time.Duration, candidates, exclude []string) (string, bool)
+	// HedgeDelay returns how long an attempt may take before it is hedged.
+	HedgeDelay(service *config.Service) time.Duration
+}
+
+// Budgets bounds extra dispatches of a service over all its queries.
+type Budgets interface {
+	// Primary counts a primary dispatch.
+	Primary()
+	// TakeHedge reports whether a hedge may be sent, and counts it.
+	TakeHedge() bool
+	// TakeRetry reports whether a retry may be sent, and counts it.
+	TakeRetry() bool
+}
+
+// Params are the inputs of a query.
+type Params struct {
+	// ID is the request part of the key of every attempt.
+	ID      string
+	Service *config.Service
+	Index   *config.Index
+	Body    string
+	// Limit bounds the hits of the answer; zero means the service's bound.
+	Limit int
+	// Deadline is the monotonic time of the hard deadline.
+	Deadline time.Duration
+	// Suspicion is what is known of the request when it starts.
+	Suspicion view.Suspicion
+	Replicas  Replicas
+	Budgets   Budgets
+	Rand      *rand.Rand
+}
+
+// Actions are the outputs of one step.
+type Actions struct {
+	Dispatch []dispatch.Request
+	Cancel   []dispatch.Cancel
+	// Events are counted by the driver.
+	Events []Event
+	// Cleared tells that a suspect survived an attempt in isolation.
+	Cleared bool
+	// Answer is set once, by the step that ends the query.
+	Answer *Answer
+}
+
+// EventKind tells what is counted.
+type EventKind uint8
+
+// The kinds of events.
+const (
+	EventHedge EventKind = iota
+	EventRetry
+	// EventStray is a reply that matches no open attempt.
+	EventStray
+	// EventWrongSnapshot is a reply from another snapshot or range.
+	EventWrongSnapshot
+	// EventRestart is a restart on another snapshot.
+	EventRestart
+	// EventHedgeDenied and EventRetryDenied are spent budgets.
+	EventHedgeDenied
+	EventRetryDenied
+)
+
+// Event is something to count, with the code that caused it.
+type Event struct {
+	Kind EventKind
+	Code result.Code
+}
+
+// Answer is the result of a query.
+type Answer struct {
+	Code     result.Code
+	Snapshot uint64
+	Shards   int
+	Covered  int
+	// Missing lists the shards that are not covered, in key order.
+	Missing []Missing
+	// Hits are sorted by descending score, then by document.
+	Hits []dispatch.Hit
+	// Truncated tells that a bound cut the hits.
+	Truncated bool
+	// Dispatched counts the attempts of the query.
+	Dispatched int
+}
+
+// Missing is a range that the answer does not cover, and why.
+type Missing struct {
+	Range keyrange.Range
+	Code  result.Code
+}
+
+// Timing of retries.
+const (
+	retryBackoffMin = 2 * time.Millisecond
+	retryBackoffMax = 100 * time.Millisecond
+	// restartReserve is the least budget that a restart on another snapshot
+	// needs.
+	restartReserve = 5 * time.Millisecond
+)
+
+// Query is the state machine of one query.
+//
+// Invariants: a shard is covered at most once; an attempt number is used once;
+// a suspect has at most one open attempt; after the answer no attempt is
+// dispatched.
+type Query struct {
+	p        Params
+	started  time.Duration
+	snapshot *config.Snapshot
+	shards   []shard
+	// byAttempt maps an open attempt to the index of its shard.
+	byAttempt   map[uint32]int
+	nextAttempt uint32
+	pending     int
+	dispatched  int
+	// mayHaveRun tells that an attempt was not provably refused.
+	mayHaveRun bool
+	restarted  bool
+	suspect    bool
+	// held tells that a primary attempt was held back.
+	held      bool
+	truncated bool
+	done      bool
+	out       Actions
+}
+
+// New returns a query; Start begins it.
+func New(p Params) *Query {
+	if p.Limit <= 0 || p.Limit > p.Service.MaxHits {
+		p.Limit = p.Service.MaxHits
+	}
+	return &Query{
+		p:         p,
+		byAttempt: make(map[uint32]int),
+		suspect:   p.Suspicion == view.Suspected,
+	}
+}
+
+// Start plans the query and dispatches its primary attempts.
+func (q *Query) Start(now time.Duration) Actions {
+	q.started = now
+	q.snapshot = chooseSnapshot(now, q.p.Index, q.p.Replicas, 0)
+	if q.snapshot == nil {
+		q.finishNotRun(result.NoReplica)
+		return q.take()
+	}
+	if q.p.Suspicion == view.Quarantined {
+		q.finishNotRun(result.Quarantined)
+		return q.take()
+	}
+	q.plan(now)
+	return q.take()
+}
+
+// Done reports whether the query has been answered.
+func (q *Query) Done() bool { return q.done }
+
+// Reply handles the reply to an attempt.
+func (q *Query) Reply(now time.Duration, r dispatch.Reply) Actions {
+	i, open := q.byAttempt[r.Attempt]
+	if q.done || !open {
+		q.event(EventStray, r.Code)
+		return q.take()
+	}
+	s := &q.shards[i]
+	a := s.close(r.Attempt)
+	delete(q.byAttempt, r.Attempt)
+	if r.Outcome != dispatch.Refused {
+		q.mayHaveRun = true
+	}
+	if r.Outcome == dispatch.OK && !q.valid(s, &r) {
+		q.event(EventWrongSnapshot, r.Code)
+		r.Outcome, r.Code = dispatch.Failed, result.BadReply
+	}
+	if r.Outcome == dispatch.OK {
+		q.cover(now, s, a, &r)
+	} else {
+		q.attemptFailed(now, i, a, &r)
+	}
+	q.resume(now)
+	q.finishIfComplete()
+	return q.take()
+}
+
+// Tick handles the passing of time: hedges, retries, target and deadline.
+func (q *Query) Tick(now time.Duration) Actions {
+	if q.done {
+		return q.take()
+	}
+	if now >= q.p.Deadline || now >= q.target() {
+		q.expire()
+		return q.take()
+	}
+	for i := range q.shards {
+		q.tickShard(now, i)
+	}
+	q.finishIfComplete()
+	return q.take()
+}
+
+// Hangup ends the query without an answer because its caller went away.
+func (q *Query) Hangup() Actions {
+	if !q.done {
+		q.cancelOpen()
+		q.done = true
+	}
+	return q.take()
+}
+
+// Next returns the time of the next Tick.
+func (q *Query) Next() time.Duration {
+	next := min(q.p.Deadline, q.target())
+	for i := range q.shards {
+		if at, ok := q.shards[i].timer(q.suspect); ok {
+			next = min(next, at)
+		}
+	}
+	return next
+}
+
+// target returns when the query is answered with what has arrived.
+func (q *Query) target() time.Duration {
+	if q.p.Service.Preference != config.PreferLatency || q.covered() == 0 {
+		return q.p.Deadline
+	}
+	return q.started + q.p.Service.LatencyTarget()
+}
+
+func (q *Query) covered() int {
+	n := 0
+	for i := range q.shards {
+		if q.shards[i].state == shardCovered {
+			n++
+		}
+	}
+	return n
+}
+
+// valid reports whether a good reply is from the pinned snapshot and from
+// inside the shard's range.
+func (q *Query) valid(s *shard, r *dispatch.Reply) bool {
+	if r.Snapshot != q.snapshot.ID || r.Range != s.keys {
+		return false
+	}
+	for i := range r.Hits {
+		if !s.keys.Contains(r.Hits[i].Key) {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *Query) cover(now time.Duration, s *shard, a attempt, r *dispatch.Reply) {
+	s.state = shardCovered
+	s.hits = r.Hits
+	q.truncated = q.truncated || r.Truncated
+	q.pending--
+	q.cancelAttempts(s)
+	if q.suspect && a.alone {
+		q.suspect = false
+		q.out.Cleared = true
+	}
+}
+
+// resume dispatches shards that were held back while the query was a suspect.
+func (q *Query) resume(now time.Duration) {
+	if !q.held || q.done {
+		return
+	}
+	q.held = false
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state == shardPending && len(s.open) == 0 && !s.waiting {
+			q.sendPrimary(now, i)
+		}
+	}
+}
+
+func (q *Query) event(kind EventKind, code result.Code) {
+	q.out.Events = append(q.out.Events, Event{Kind: kind, Code: code})
+}
+
+func (q *Query) take() Actions {
+	out := q.out
+	q.out = Actions{}
+	return out
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,53 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// keyValueWriter formats events as time=… level=… message=… key=value, in the
+// order of the fields, without colours. Values with spaces are quoted.
+func keyValueWriter(w io.Writer) io.Writer {
+	return zerolog.ConsoleWriter{
+		Out:        w,
+		NoColor:    true,
+		TimeFormat: time.RFC3339,
+		FormatTimestamp: func(v any) string {
+			return fmt.Sprintf("time=%v", v)
+		},
+		FormatLevel: func(v any) string {
+			return fmt.Sprintf("level=%v", v)
+		},
+		FormatMessage: func(v any) string {
+			return "message=" + quote(fmt.Sprint(v))
+		},
+		FormatFieldName: func(v any) string {
+			return fmt.Sprintf("%v=", v)
+		},
+		FormatFieldValue: func(v any) string {
+			return quote(fmt.Sprint(v))
+		},
+		FormatErrFieldName: func(v any) string {
+			return fmt.Sprintf("%v=", v)
+		},
+		FormatErrFieldValue: func(v any) string {
+			return quote(fmt.Sprint(v))
+		},
+	}
+}
+
+// quote quotes a value that would break the key=value form.
+func quote(v string) string {
+	if v == "" || strings.ContainsAny(v, " \t\r\n\"=") {
+		if unquoted, err := strconv.Unquote(v); err == nil {
+			v = unquoted
+		}
+		return strconv.Quote(v)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,98 @@
+// Package telemetry holds the counters and the log format of a host.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs an event.
+// An unknown level means info.
+func NewLogger(w io.Writer, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(keyValueWriter(w)).Level(parsed).With().Timestamp().Logger()
+}
+
+// Counter families; each is labelled with the name of a result code.
+const (
+	// FamilyAnswers counts answers to callers.
+	FamilyAnswers = "gypsumlug_answers_total"
+	// FamilyRefusals counts refused attempts and peer or platform inputs.
+	FamilyRefusals = "gypsumlug_refusals_total"
+	// FamilyRetries counts retries by the code that caused them.
+	FamilyRetries = "gypsumlug_retries_total"
+	// FamilyAttempts counts ended attempts.
+	FamilyAttempts = "gypsumlug_attempts_total"
+	// FamilyConfiguration counts refused revisions and documents.
+	FamilyConfiguration = "gypsumlug_configuration_refusals_total"
+)
+
+// Counters are the counters of one host. It is safe for concurrent use.
+type Counters struct {
+	set *metrics.Set
+
+	mu     sync.RWMutex
+	byCode map[codeKey]*metrics.Counter
+}
+
+type codeKey struct {
+	family string
+	code   result.Code
+}
+
+// NewCounters returns counters in a set of their own.
+func NewCounters() *Counters {
+	return &Counters{set: metrics.NewSet(), byCode: make(map[codeKey]*metrics.Counter)}
+}
+
+// Code counts one event of a family by its result code.
+func (c *Counters) Code(family string, code result.Code) {
+	key := codeKey{family: family, code: code}
+	c.mu.RLock()
+	counter := c.byCode[key]
+	c.mu.RUnlock()
+	if counter == nil {
+		counter = c.addCode(key)
+	}
+	counter.Inc()
+}
+
+func (c *Counters) addCode(key codeKey) *metrics.Counter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := fmt.Sprintf(`%s{code="%d",reason="%s"}`, key.family, key.code, key.code)
+	counter := c.set.GetOrCreateCounter(name)
+	c.byCode[key] = counter
+	return counter
+}
+
+// Value returns the count of a family and code.
+func (c *Counters) Value(family string, code result.Code) uint64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if counter := c.byCode[codeKey{family: family, code: code}]; counter != nil {
+		return counter.Get()
+	}
+	return 0
+}
+
+// Counter returns the counter with the given name, created on first use.
+func (c *Counters) Counter(name string) *metrics.Counter { return c.set.GetOrCreateCounter(name) }
+
+// Gauge registers a gauge that is read when metrics are written.
+func (c *Counters) Gauge(name string, read func() float64) { c.set.GetOrCreateGauge(name, read) }
+
+// Write writes the counters and the process metrics in Prometheus text format.
+func (c *Counters) Write(w io.Writer) {
+	c.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
