--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -17,7 +17,7 @@
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
 	"admission", "config", "configuration", "control", "coordinator", "dispatch", "endpoint",
-	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
+	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
 }
 
 // allowedStandard are the standard packages that a decision package may import.
