Add beliefs about replicas, limits and budgets

Cause: the coordinator needs a replica for each attempt, and the relay a bound on what is in flight at a replica. Change: endpoint.Table picks by two choices on own load and latency, ejects failing replicas but never the last candidate, and gives leaving ones no work; endpoint.Limit adapts to refusals and waiting; endpoint.Budget bounds hedges and retries; testsuite.NewBundle builds a bundle for tests.

--- /dev/null
+++ b/internal/endpoint/limit_test.go
@@ -0,0 +1,170 @@
+package endpoint_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/endpoint"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+)
+
+func TestLimitStaysWithinBounds(t *testing.T) {
+	testsuite.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 16).Draw(rt, "slots")
+		limit := endpoint.NewLimit(slots, rapid.IntRange(1, 5).Draw(rt, "relays"))
+		now := time.Duration(0)
+		ms := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 50).Draw(rt, name)) * time.Millisecond
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"complete": func(rt *rapid.T) { limit.Completed(now, ms("latency"), ms("service"), rapid.Bool().Draw(rt, "full")) },
+			"shed":     func(*rapid.T) { limit.Refused(now, result.EndpointShed) },
+			"cold":     func(*rapid.T) { limit.Refused(now, result.EndpointCold) },
+			"wait":     func(*rapid.T) { now += ms("wait") },
+			"": func(rt *rapid.T) {
+				if v := limit.Value(); v < 1 || v > (3*slots+1)/2 {
+					rt.Fatalf("limit is %d with %d slots", v, slots)
+				}
+			},
+		})
+	})
+}
+
+// serve runs rounds of service time at an endpoint with slots, which sheds what
+// exceeds them, and returns the average limit of the last half.
+func serve(limit *endpoint.Limit, slots, rounds int) float64 {
+	sum := 0
+	for i := range rounds {
+		now := time.Duration(i) * 10 * time.Millisecond
+		n := limit.Value()
+		for j := range n {
+			if j >= slots {
+				limit.Refused(now, result.EndpointShed)
+				continue
+			}
+			limit.Completed(now, 10*time.Millisecond, 10*time.Millisecond, true)
+		}
+		if i >= rounds/2 {
+			sum += n
+		}
+	}
+	return float64(sum) / float64(rounds-rounds/2)
+}
+
+var _ = DescribeTable("limit of a replica with a steady load",
+	func(start func(*endpoint.Limit), published, actual, relays int, low, high float64) {
+		limit := endpoint.NewLimit(published, relays)
+		start(limit)
+		Expect(serve(limit, actual, 200)).To(And(BeNumerically(">=", low), BeNumerically("<=", high)))
+	},
+	Entry("slots as published", func(*endpoint.Limit) {}, 6, 6, 1, 5.0, 7.0),
+	Entry("fewer slots than published", func(*endpoint.Limit) {}, 6, 2, 1, 1.5, 3.0),
+	Entry("cold start", (*endpoint.Limit).Cold, 6, 6, 1, 5.0, 7.0),
+	Entry("other relays are idle", func(*endpoint.Limit) {}, 6, 6, 3, 5.0, 7.0),
+	Entry("more slots than published", func(*endpoint.Limit) {}, 2, 100, 1, 3.0, 3.0),
+)
+
+var _ = Describe("limit", func() {
+	It("shrinks when attempts wait at the endpoint, though nothing is refused", func() {
+		limit := endpoint.NewLimit(8, 1)
+		for i := range 100 {
+			limit.Completed(time.Duration(i)*50*time.Millisecond, 50*time.Millisecond, 10*time.Millisecond, true)
+		}
+		Expect(limit.Value()).To(Equal(1))
+	})
+})
+
+func TestBudgetBoundsTakes(t *testing.T) {
+	testsuite.Check(t, func(rt *rapid.T) {
+		share := rapid.IntRange(0, 300).Draw(rt, "per mille")
+		burst := rapid.IntRange(0, 20).Draw(rt, "burst")
+		budget := endpoint.NewBudget(share, burst)
+		primaries, taken, refused, inRow := 0, 0, 0, 0
+		rt.Repeat(map[string]func(*rapid.T){
+			"primary": func(rt *rapid.T) {
+				for range rapid.IntRange(1, 100).Draw(rt, "primaries") {
+					budget.Primary()
+					primaries++
+				}
+				inRow = 0
+			},
+			"take": func(rt *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(rt, "takes") {
+					if budget.Take() {
+						taken++
+						inRow++
+					} else {
+						refused++
+					}
+				}
+			},
+			"": func(rt *rapid.T) {
+				if 1000*taken > share*primaries+1000*burst {
+					rt.Fatalf("took %d of %d primaries at %d per mille and burst %d", taken, primaries, share, burst)
+				}
+				if inRow > burst {
+					rt.Fatalf("took %d in a row with a burst of %d", inRow, burst)
+				}
+				if refused > 0 && burst > 0 && taken < burst {
+					rt.Fatalf("refused after %d of a burst of %d", taken, burst)
+				}
+			},
+		})
+	})
+}
+
+func TestPercentileAgainstSortedSamples(t *testing.T) {
+	g := NewWithT(t)
+	table := endpoint.NewTable()
+	table.SetView(0, newView(t, 2))
+	rng := rand.New(rand.NewPCG(1, 2))
+	var samples []time.Duration
+	now := time.Second
+	record := func(latency time.Duration) {
+		table.Dispatched(now, "e0")
+		table.Replied(now, replyTo("e0", dispatch.OK, 0), latency)
+		samples = append(samples, latency)
+	}
+	_, ok := table.Percentile("desk", 950)
+	g.Expect(ok).To(BeFalse())
+	for range 2000 {
+		record(time.Duration(1+rng.IntN(1_000_000)) * time.Microsecond / 10)
+	}
+	slices.Sort(samples)
+	for _, perMille := range []int{500, 900, 950, 990} {
+		got, ok := table.Percentile("desk", perMille)
+		want := float64(samples[len(samples)*perMille/1000])
+		g.Expect(ok).To(BeTrue())
+		g.Expect(float64(got)).To(BeNumerically("~", want, 0.07*want))
+	}
+	now += time.Minute
+	for range 100 {
+		record(time.Millisecond)
+	}
+	got, ok := table.Percentile("desk", 990)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(got).To(BeNumerically("<", 2*time.Millisecond))
+}
+
+func BenchmarkPick(b *testing.B) {
+	table := endpoint.NewTable()
+	table.SetView(0, newView(b, 5))
+	rng := rand.New(rand.NewPCG(1, 1))
+	candidates := []string{"e0", "e1", "e2", "e3", "e4"}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := time.Duration(i) * time.Microsecond
+		id, _ := table.Pick(now, candidates, nil, rng)
+		table.Dispatched(now, id)
+		table.Replied(now, replyTo(id, dispatch.OK, 0), time.Millisecond)
+		table.Percentile("desk", 950)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/table_test.go
@@ -0,0 +1,268 @@
+package endpoint_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/endpoint"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+func TestEndpoint(t *testing.T) { testsuite.RunSpecs(t, "endpoint") }
+
+// newView returns a view from data centre "ruwi" of n endpoints "e0".. of one
+// service, of which every third is elsewhere.
+func newView(t testing.TB, n int) *view.View {
+	var endpoints []config.Endpoint
+	for i := range n {
+		dc := "ruwi"
+		if i%3 == 2 {
+			dc = "seeb"
+		}
+		endpoints = append(endpoints, config.Endpoint{
+			ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: dc, Slots: 2, MaxConnections: 50,
+		})
+	}
+	b := testsuite.NewBundle(t, []config.Service{testsuite.NewService("desk")}, map[string][]config.Endpoint{"desk": endpoints})
+	return &view.View{Bundle: b, Self: view.Host{DataCentre: "ruwi"}, Leaving: map[string]bool{}}
+}
+
+func replyTo(id string, outcome dispatch.Outcome, code result.Code) dispatch.Reply {
+	return dispatch.Reply{Endpoint: id, Outcome: outcome, Code: code}
+}
+
+// kind is a sort of reply and what it is expected to mean.
+type kind struct {
+	outcome dispatch.Outcome
+	code    result.Code
+	fault   bool
+}
+
+var kinds = []kind{
+	{dispatch.OK, 0, false},
+	{dispatch.Failed, result.EndpointFailed, true},
+	{dispatch.Unknown, result.EndpointCrashed, true},
+	{dispatch.Unknown, result.ConnectionSilent, true},
+	{dispatch.Unknown, result.Cancelled, false},
+	{dispatch.Unknown, result.ForwardUnknown, false},
+	{dispatch.Refused, result.ConnectFailed, true},
+	{dispatch.Refused, result.EndpointShed, false},
+	{dispatch.Refused, result.PeerUnreachable, false},
+	{dispatch.Refused, result.ExpiredBeforeSend, false},
+}
+
+// oracle tracks, apart from the table, what it must know.
+type oracle struct {
+	outstanding map[string][]time.Duration
+	leaving     map[string]time.Duration
+	faults      map[string]int
+	pausedAt    time.Duration
+}
+
+func (o *oracle) inFlight(id string) int {
+	n := 0
+	for _, at := range o.outstanding[id] {
+		if at >= o.pausedAt {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTableAgainstOracle(t *testing.T) {
+	const replicas = 6
+	base := newView(t, replicas)
+	testsuite.Check(t, func(rt *rapid.T) {
+		table := endpoint.NewTable()
+		table.SetView(0, base)
+		o := &oracle{outstanding: map[string][]time.Duration{}, leaving: map[string]time.Duration{}, faults: map[string]int{}}
+		now := time.Second
+		viewLeaving := map[string]bool{}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		ids := []string{"e0", "e1", "e2", "e3", "e4", "e5", "gone"}
+		leaving := func(id string) bool { return viewLeaving[id] || now < o.leaving[id] }
+		rt.Repeat(map[string]func(*rapid.T){
+			"dispatch": func(rt *rapid.T) {
+				excluded := rapid.SliceOfDistinct(rapid.SampledFrom(ids), rapid.ID[string]).Draw(rt, "excluded")
+				candidates := ids[:rapid.IntRange(0, len(ids)).Draw(rt, "candidates")]
+				skip := func(id string) bool { return slices.Contains(excluded, id) }
+				id, ok := table.Pick(now, candidates, skip, rng)
+				usable := func(id string) bool { return id != "gone" && !leaving(id) && !skip(id) }
+				if ok != slices.ContainsFunc(candidates, usable) {
+					rt.Fatalf("pick from %v without %v: %v", candidates, excluded, ok)
+				}
+				if !ok {
+					return
+				}
+				if !usable(id) {
+					rt.Fatalf("picked %s, which is leaving, excluded or unknown", id)
+				}
+				healthy := func(id string) bool { return usable(id) && table.Condition(now, id) == endpoint.Healthy }
+				local := func(id string) bool { return healthy(id) && id != "e2" && id != "e5" }
+				switch c := table.Condition(now, id); {
+				case c == endpoint.Probation:
+				case slices.ContainsFunc(candidates, local) && !local(id), slices.ContainsFunc(candidates, healthy) && !healthy(id):
+					rt.Fatalf("picked %s (%v) and passed over a better one", id, c)
+				}
+				table.Dispatched(now, id)
+				o.outstanding[id] = append(o.outstanding[id], now)
+			},
+			"reply": func(rt *rapid.T) {
+				id := rapid.SampledFrom(ids[:replicas]).Draw(rt, "endpoint")
+				if len(o.outstanding[id]) == 0 {
+					rt.Skip("nothing in flight")
+				}
+				i := rapid.IntRange(0, len(o.outstanding[id])-1).Draw(rt, "which")
+				at := o.outstanding[id][i]
+				o.outstanding[id] = slices.Delete(o.outstanding[id], i, i+1)
+				k := rapid.SampledFrom(kinds).Draw(rt, "kind")
+				r := replyTo(id, k.outcome, k.code)
+				if rapid.IntRange(0, 9).Draw(rt, "drains") == 0 {
+					r.Load = &dispatch.Load{Leaving: true}
+					o.leaving[id] = now + 30*time.Second
+				}
+				table.Replied(now, r, now-at)
+				switch {
+				case at < o.pausedAt:
+				case k.outcome == dispatch.OK:
+					o.faults[id] = 0
+				case k.fault:
+					o.faults[id]++
+				}
+			},
+			"fail in a row": func(rt *rapid.T) {
+				id := rapid.SampledFrom(ids[:replicas]).Draw(rt, "endpoint")
+				for range rapid.IntRange(1, 6).Draw(rt, "times") {
+					table.Dispatched(now, id)
+					table.Replied(now, replyTo(id, dispatch.Failed, result.EndpointFailed), 0)
+					o.faults[id]++
+				}
+			},
+			"succeed": func(rt *rapid.T) {
+				for _, id := range ids[:rapid.IntRange(1, replicas).Draw(rt, "endpoints")] {
+					table.Dispatched(now, id)
+					table.Replied(now, replyTo(id, dispatch.OK, 0), 0)
+					o.faults[id] = 0
+				}
+			},
+			"view": func(rt *rapid.T) {
+				viewLeaving = map[string]bool{}
+				for _, id := range rapid.SliceOfDistinct(rapid.SampledFrom(ids), rapid.ID[string]).Draw(rt, "leaving") {
+					viewLeaving[id] = true
+				}
+				next := *base
+				next.Leaving = viewLeaving
+				table.SetView(now, &next)
+			},
+			"pause": func(*rapid.T) {
+				now += time.Minute
+				o.pausedAt = now
+				table.Paused(now)
+			},
+			"wait": func(rt *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond
+			},
+			"": func(rt *rapid.T) {
+				ejected := 0
+				for _, id := range ids[:replicas] {
+					if got := table.InFlight(id); got != o.inFlight(id) {
+						rt.Fatalf("%s: %d in flight, want %d", id, got, o.inFlight(id))
+					}
+					c := table.Condition(now, id)
+					if (c == endpoint.Leaving) != leaving(id) {
+						rt.Fatalf("%s is %v, leaving is %v", id, c, leaving(id))
+					}
+					if c == endpoint.Ejected {
+						ejected++
+						if o.faults[id] < 5 {
+							rt.Fatalf("%s is ejected after %d faults", id, o.faults[id])
+						}
+					}
+				}
+				if ejected > replicas/2 {
+					rt.Fatalf("%d of %d are ejected", ejected, replicas)
+				}
+			},
+		})
+	})
+}
+
+var _ = DescribeTable("condition after six equal replies",
+	func(outcome dispatch.Outcome, code result.Code, want endpoint.Condition) {
+		table := endpoint.NewTable()
+		table.SetView(0, newView(GinkgoTB(), 3))
+		for range 6 {
+			table.Dispatched(0, "e0")
+			table.Replied(0, replyTo("e0", outcome, code), 0)
+		}
+		Expect(table.Condition(0, "e0")).To(Equal(want))
+	},
+	Entry("success", dispatch.OK, result.Code(0), endpoint.Healthy),
+	Entry("failure", dispatch.Failed, result.EndpointFailed, endpoint.Ejected),
+	Entry("crash", dispatch.Unknown, result.EndpointCrashed, endpoint.Ejected),
+	Entry("silence on every connection", dispatch.Unknown, result.ConnectionSilent, endpoint.Ejected),
+	Entry("no connection", dispatch.Refused, result.ConnectFailed, endpoint.Ejected),
+	Entry("lost relay", dispatch.Unknown, result.ForwardUnknown, endpoint.Healthy),
+	Entry("cancelled loser", dispatch.Unknown, result.Cancelled, endpoint.Healthy),
+	Entry("shedding", dispatch.Refused, result.EndpointShed, endpoint.Overloaded),
+	Entry("cold start", dispatch.Refused, result.EndpointCold, endpoint.Overloaded),
+	Entry("snapshot gone", dispatch.Refused, result.SnapshotGone, endpoint.Healthy),
+	Entry("drain", dispatch.Refused, result.EndpointLeaving, endpoint.Leaving),
+)
+
+var _ = Describe("ejection", func() {
+	It("is followed by one attempt at a time, and lasts longer each time", func() {
+		table := endpoint.NewTable()
+		table.SetView(0, newView(GinkgoTB(), 2))
+		fail := func(now time.Duration) {
+			table.Dispatched(now, "e0")
+			table.Replied(now, replyTo("e0", dispatch.Unknown, result.EndpointCrashed), 0)
+		}
+		for range 5 {
+			fail(0)
+		}
+		Expect(table.Condition(time.Second-1, "e0")).To(Equal(endpoint.Ejected))
+		Expect(table.Condition(time.Second, "e0")).To(Equal(endpoint.Probation))
+		table.Dispatched(time.Second, "e0")
+		Expect(table.Eligible(time.Second, "e0")).To(BeFalse())
+		table.Replied(time.Second, replyTo("e0", dispatch.Unknown, result.EndpointCrashed), 0)
+		Expect(table.Condition(3*time.Second-1, "e0")).To(Equal(endpoint.Ejected))
+		table.Dispatched(3*time.Second, "e0")
+		table.Replied(3*time.Second, replyTo("e0", dispatch.OK, 0), 0)
+		Expect(table.Condition(3*time.Second, "e0")).To(Equal(endpoint.Healthy))
+	})
+})
+
+var _ = Describe("choice", func() {
+	It("prefers the faster replica and is not misled by load reports alone", func() {
+		table := endpoint.NewTable()
+		table.SetView(0, newView(GinkgoTB(), 2))
+		rng := rand.New(rand.NewPCG(1, 1))
+		for id, latency := range map[string]time.Duration{"e0": time.Millisecond, "e1": 20 * time.Millisecond} {
+			r := replyTo(id, dispatch.OK, 0)
+			r.Load = &dispatch.Load{InFlight: 99, Slots: 2}
+			if id == "e1" {
+				r.Load.InFlight = 0
+			}
+			for range 20 {
+				table.Dispatched(time.Second, id)
+				table.Replied(time.Second, r, latency)
+			}
+		}
+		for range 20 {
+			id, _ := table.Pick(time.Second, []string{"e0", "e1"}, nil, rng)
+			Expect(id).To(Equal("e0"))
+		}
+	})
+})
