--- a/api/api.go
+++ b/api/api.go
@@ -53,7 +53,10 @@
 	// Revision is the configuration that the query ran under.
 	Revision uint64   `json:"revision,omitempty"`
 	Coverage Coverage `json:"coverage"`
-	Hits     []Hit    `json:"hits"`
+	// Truncated tells that documents were cut by the caller's limit or by the
+	// service's bound; only the latter makes an answer partial.
+	Truncated bool  `json:"truncated,omitempty"`
+	Hits      []Hit `json:"hits"`
 }
 
 // Coverage states which keys of the snapshot an answer covers.
--- /dev/null
+++ b/internal/coordinator/routing.go
@@ -0,0 +1,166 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/endpoint"
+)
+
+// relayAvoidance is how long a relay that could not be reached is avoided if
+// the endpoint has another one.
+const relayAvoidance = 2 * time.Second
+
+// defaultHedgeDivisor gives the hedge delay as a share of the latency target
+// while too few replies were observed.
+const defaultHedgeDivisor = 4
+
+// minHedgeDelay keeps hedges from racing ordinary replies.
+const minHedgeDelay = time.Millisecond
+
+// minBudgetBurst is the least number of hedges or retries that a service saves
+// up.
+const minBudgetBurst = 16
+
+// route returns the relay for an endpoint: this host if it is one, else the
+// first that was not found unreachable lately, starting at a position that
+// differs between hosts so that relays share the work.
+func (m *Machine) route(now time.Duration, id string) string {
+	relays := m.view.Relays[id]
+	if len(relays) == 0 || slices.Contains(relays, m.cfg.Self.Address) {
+		return ""
+	}
+	first := int(m.cfg.Self.Start % uint64(len(relays)))
+	for i := range relays {
+		relay := relays[(first+i)%len(relays)]
+		if now >= m.relayDown[relay] {
+			return relay
+		}
+	}
+	return relays[first]
+}
+
+func (m *Machine) avoid(now time.Duration, relay string) {
+	if relay != "" {
+		m.relayDown[relay] = now + relayAvoidance
+	}
+}
+
+// dispatch routes an attempt and accounts for it.
+func (m *Machine) dispatch(now time.Duration, r dispatch.Request) {
+	to := m.route(now, r.Endpoint)
+	m.outstanding[r.Key] = outstanding{
+		to:       to,
+		endpoint: r.Endpoint,
+		sent:     now,
+		expires:  now + r.Budget + outstandingGrace,
+		request:  r,
+	}
+	m.table.Dispatched(now, r.Endpoint)
+	m.out.Dispatch = append(m.out.Dispatch, Routed{To: to, Request: r})
+}
+
+func (m *Machine) cancel(c dispatch.Cancel) {
+	if o, ok := m.outstanding[c.Key]; ok {
+		m.out.Cancel = append(m.out.Cancel, RoutedCancel{To: o.to, Cancel: c})
+	}
+}
+
+// outstandingAt returns the attempts that were written to a peer, in order.
+func (m *Machine) outstandingAt(peer string) []dispatch.Key {
+	return m.selectOutstanding(func(o *outstanding) bool { return o.to == peer && o.written })
+}
+
+// overdue returns the attempts whose reply is long overdue, in order.
+func (m *Machine) overdue(now time.Duration) []dispatch.Key {
+	return m.selectOutstanding(func(o *outstanding) bool { return now >= o.expires })
+}
+
+func (m *Machine) selectOutstanding(match func(*outstanding) bool) []dispatch.Key {
+	var keys []dispatch.Key
+	for k, o := range m.outstanding {
+		if match(&o) {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b dispatch.Key) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return keys
+}
+
+// replicas lets query machines choose endpoints by the host's beliefs.
+type replicas struct{ m *Machine }
+
+// Eligible implements query.Replicas.
+func (r replicas) Eligible(now time.Duration, id string) bool {
+	return r.m.table.Eligible(now, id)
+}
+
+// Pick implements query.Replicas.
+func (r replicas) Pick(now time.Duration, candidates, exclude []string) (string, bool) {
+	excluded := func(id string) bool { return slices.Contains(exclude, id) }
+	return r.m.table.Pick(now, candidates, excluded, r.m.rng)
+}
+
+// HedgeDelay implements query.Replicas.
+func (r replicas) HedgeDelay(s *config.Service) time.Duration {
+	delay, ok := r.m.table.Percentile(s.Name, s.Hedge.PercentilePerMille)
+	if !ok {
+		delay = s.LatencyTarget() / defaultHedgeDivisor
+	}
+	return max(delay, minHedgeDelay)
+}
+
+// budgets bounds the extra dispatches of one service on this host.
+type budgets struct {
+	hedge *endpoint.Budget
+	retry *endpoint.Budget
+}
+
+// Primary implements query.Budgets.
+func (b *budgets) Primary() {
+	b.hedge.Primary()
+	b.retry.Primary()
+}
+
+// TakeHedge implements query.Budgets.
+func (b *budgets) TakeHedge() bool { return b.hedge.Take() }
+
+// TakeRetry implements query.Budgets.
+func (b *budgets) TakeRetry() bool { return b.retry.Take() }
+
+// updateBudgets follows the services of the view. A budget keeps what it saved.
+func (m *Machine) updateBudgets() {
+	services := m.view.Bundle.Services()
+	for name := range m.budgets {
+		if services[name] == nil {
+			delete(m.budgets, name)
+		}
+	}
+	for name, s := range services {
+		if b := m.budgets[name]; b != nil {
+			b.hedge.SetShare(s.Hedge.BudgetPerMille)
+			b.retry.SetShare(s.Retry.BudgetPerMille)
+			continue
+		}
+		m.budgets[name] = m.newBudgets(s)
+	}
+}
+
+// newBudgets gives a service a burst of one retry for each shard, so that the
+// loss of an endpoint with attempts in flight is made good at once.
+func (m *Machine) newBudgets(s *config.Service) *budgets {
+	shards := 0
+	if x := m.view.Bundle.Index(s.Name); len(x.Snapshots) > 0 {
+		shards = len(x.Snapshots[len(x.Snapshots)-1].Shards)
+	}
+	burst := max(minBudgetBurst, shards)
+	return &budgets{
+		hedge: endpoint.NewBudget(s.Hedge.BudgetPerMille, burst),
+		retry: endpoint.NewBudget(s.Retry.BudgetPerMille, burst),
+	}
+}
