Decide which revision of the configuration is in force

Cause: a host must take a revision whole or not at all, never go back, and not be blocked by a bad value; the platform may be stale, torn or in conflict.

Conclusion: the stateful test fails when the comparison with the revision in force is taken out, and passes with it.

--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -21,6 +21,13 @@
 	indexes      map[string]*Index
 	endpoints    map[string]*Endpoint
 	owners       map[string]string
+	hashes       map[documentKey]string
+}
+
+// documentKey identifies a document of a manifest.
+type documentKey struct {
+	kind Kind
+	name string
 }
 
 // Service returns the service named name, or nil.
@@ -123,27 +130,48 @@
 // NewBundle builds the bundle of a manifest. documents maps a hash to the
 // document's bytes. Errors are *result.Error with code 610, 614, 615 or 616.
 func NewBundle(manifest []byte, documents map[string][]byte) (*Bundle, error) {
+	return NewBundleFrom(nil, manifest, documents)
+}
+
+// NewBundleFrom is NewBundle, but takes over the parsed documents of previous
+// whose hash is unchanged; their bytes need not be in documents. Sharing them is
+// safe since bundles are immutable. previous may be nil.
+func NewBundleFrom(previous *Bundle, manifest []byte, documents map[string][]byte) (*Bundle, error) {
 	m, err := ParseManifest(manifest)
 	if err != nil {
 		return nil, err
 	}
-	b := &Bundle{
+	b := newBundle(m, Hash(manifest))
+	for _, ref := range m.Documents {
+		if err := b.add(previous, ref, documents[ref.Hash]); err != nil {
+			return nil, err
+		}
+	}
+	return b, b.validateReferences()
+}
+
+func newBundle(m *Manifest, hash string) *Bundle {
+	return &Bundle{
 		Revision:     m.Revision,
-		ManifestHash: Hash(manifest),
+		ManifestHash: hash,
 		services:     make(map[string]*Service),
 		indexes:      make(map[string]*Index),
 		endpoints:    make(map[string]*Endpoint),
 		owners:       make(map[string]string),
+		hashes:       make(map[documentKey]string, len(m.Documents)),
 	}
-	for _, ref := range m.Documents {
-		if err := b.add(ref, documents[ref.Hash]); err != nil {
-			return nil, err
-		}
-	}
-	return b, b.validateReferences()
 }
 
-func (b *Bundle) add(ref DocumentRef, data []byte) error {
+// Holds reports whether the bundle has parsed the document that ref names.
+func (b *Bundle) Holds(ref DocumentRef) bool {
+	return b != nil && b.hashes[documentKey{ref.Kind, ref.Name}] == ref.Hash
+}
+
+func (b *Bundle) add(previous *Bundle, ref DocumentRef, data []byte) error {
+	b.hashes[documentKey{ref.Kind, ref.Name}] = ref.Hash
+	if previous.Holds(ref) {
+		return b.reuse(previous, ref)
+	}
 	if err := CheckDocument(ref, data); err != nil {
 		return err
 	}
@@ -153,6 +181,14 @@
 	return b.addIndex(ref, data)
 }
 
+func (b *Bundle) reuse(previous *Bundle, ref DocumentRef) error {
+	if ref.Kind == KindService {
+		b.services[ref.Name] = previous.services[ref.Name]
+		return nil
+	}
+	return b.register(previous.indexes[ref.Name])
+}
+
 // CheckDocument verifies the size and hash of a document.
 func CheckDocument(ref DocumentRef, data []byte) error {
 	if len(data) > MaxValueBytes {
@@ -190,11 +226,16 @@
 	if err := x.validate(); err != nil {
 		return err
 	}
+	return b.register(x)
+}
+
+// register adds a valid index and its endpoints.
+func (b *Bundle) register(x *Index) error {
 	b.indexes[x.Service] = x
 	for i := range x.Endpoints {
 		e := &x.Endpoints[i]
 		if owner, ok := b.owners[e.ID]; ok {
-			return result.FieldErrorf(result.DocumentInvalid, ref.Name, "endpoint %q belongs to service %q already", e.ID, owner)
+			return result.FieldErrorf(result.DocumentInvalid, x.Service, "endpoint %q belongs to service %q already", e.ID, owner)
 		}
 		b.endpoints[e.ID] = e
 		b.owners[e.ID] = x.Service
--- /dev/null
+++ b/internal/configuration/store_test.go
@@ -0,0 +1,225 @@
+package configuration_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/configuration"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+)
+
+func TestConfiguration(t *testing.T) { testsuite.RunSpecs(t, "configuration") }
+
+// revision is one published revision of the tests.
+type revision struct {
+	number    config.Revision
+	manifest  []byte
+	documents map[string][]byte
+	valid     bool
+}
+
+// publish builds a revision of two services; deadline varies the content of one.
+func publish(number config.Revision, deadline int) revision {
+	r := revision{number: number, documents: make(map[string][]byte), valid: deadline > 0}
+	m := config.Manifest{Format: config.FormatVersion, Revision: number}
+	for i, name := range []string{"desk", "portal"} {
+		ms := []int{deadline, 500}[i]
+		service := fmt.Sprintf(`{"format":1,"name":%q,"preference":"latency","repeatable":true,"latency_target_ms":%d,"deadline_ms":%d,"max_hits":1,"in_flight_limit":1}`, name, ms, ms)
+		index := fmt.Sprintf(`{"format":1,"service":%q,"endpoints":[{"id":"%s-0","address":"10.1.0.1:80","slots":2,"max_connections":50}]}`, name, name)
+		r.add(&m, config.KindService, name, service)
+		r.add(&m, config.KindIndex, name, index)
+	}
+	r.manifest, _ = json.Marshal(m)
+	return r
+}
+
+func (r revision) add(m *config.Manifest, kind config.Kind, name, text string) {
+	hash := config.Hash([]byte(text))
+	r.documents[hash] = []byte(text)
+	m.Documents = append(m.Documents, config.DocumentRef{Kind: kind, Name: name, Hash: hash, Size: len(text)})
+}
+
+// install offers r and supplies what is wanted.
+func install(s *configuration.Store, now time.Duration, r revision) {
+	_, _ = s.Offer(now, r.manifest)
+	for len(s.Wanted()) > 0 && s.Candidate() == r.number {
+		hash := s.Wanted()[0].Hash
+		_, _ = s.Supply(now, hash, r.documents[hash])
+	}
+}
+
+func codeOf(err error) result.Code {
+	var typed *result.Error
+	if err == nil || !errors.As(err, &typed) {
+		return 0
+	}
+	return typed.Code
+}
+
+var _ = DescribeTable("refused manifests leave the revision in force",
+	func(manifest []byte, want result.Code) {
+		s := configuration.New()
+		install(s, 0, publish(5, 100))
+		before := s.Bundle()
+		_, err := s.Offer(time.Second, manifest)
+		Expect(codeOf(err)).To(Equal(want))
+		Expect(s.Bundle()).To(BeIdenticalTo(before))
+		Expect(s.Refusals()).To(Equal([]configuration.Refusal{{Code: want, Count: 1}}))
+		Expect(s.LastRefusal().Code).To(Equal(want))
+		install(s, 2*time.Second, publish(9, 200))
+		Expect(s.Revision()).To(Equal(config.Revision(9)), "a higher revision still comes into force")
+	},
+	Entry("older", publish(4, 200).manifest, result.ManifestOlder),
+	Entry("same revision, other content", publish(5, 200).manifest, result.ManifestConflict),
+	Entry("torn", publish(6, 100).manifest[:40], result.ManifestInvalid),
+	Entry("empty", []byte(nil), result.ManifestInvalid),
+	Entry("newer format", []byte(`{"format":2,"revision":6,"documents":[]}`), result.ManifestFormat),
+	Entry("oversized", []byte(strings.Repeat(" ", config.MaxValueBytes+1)), result.DocumentTooLarge),
+	Entry("invalid document", func() []byte { return invalidIndex(6) }(), result.DocumentInvalid),
+)
+
+// invalidIndex lists two services with the same documents at hand of revision 5,
+// but no index of one of them.
+func invalidIndex(number config.Revision) []byte {
+	m := config.Manifest{}
+	_ = json.Unmarshal(publish(number, 100).manifest, &m)
+	m.Documents = m.Documents[:3]
+	data, _ := json.Marshal(m)
+	return data
+}
+
+var _ = DescribeTable("refused documents",
+	func(data []byte, want result.Code) {
+		s := configuration.New()
+		r := publish(1, 100)
+		_, err := s.Offer(0, r.manifest)
+		Expect(err).NotTo(HaveOccurred())
+		hash := s.Wanted()[0].Hash
+		_, err = s.Supply(0, hash, data)
+		Expect(codeOf(err)).To(Equal(want))
+		Expect(s.Wanted()).To(HaveLen(4), "the document is still wanted from another source")
+		install(s, 0, r)
+		Expect(s.Revision()).To(Equal(config.Revision(1)))
+	},
+	Entry("torn", []byte(`{"format":1`), result.DocumentHash),
+	Entry("absent", []byte(nil), result.DocumentHash),
+	Entry("oversized", make([]byte, config.MaxValueBytes+1), result.DocumentTooLarge),
+)
+
+var _ = It("fetches and parses only what changed, and keeps only what is in force", func() {
+	s := configuration.New()
+	first, second := publish(1, 100), publish(2, 200)
+	install(s, 0, first)
+	unchanged := s.Bundle().Service("portal")
+	_, err := s.Offer(0, second.manifest)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Wanted()).To(HaveLen(1))
+	changed := s.Wanted()[0].Hash
+	install(s, 0, second)
+	Expect(s.Bundle().Service("portal")).To(BeIdenticalTo(unchanged))
+	Expect(s.Bundle().Service("desk").DeadlineMS).To(Equal(200))
+	Expect(s.DocumentBytes(changed)).NotTo(BeNil())
+	for hash := range first.documents {
+		if second.documents[hash] == nil {
+			Expect(s.DocumentBytes(hash)).To(BeNil())
+		}
+	}
+})
+
+var _ = It("gives up a candidate whose documents cannot be had", func() {
+	s := configuration.New()
+	stuck, other := publish(9, 100), publish(8, 100)
+	_, _ = s.Offer(0, stuck.manifest)
+	install(s, time.Second, other)
+	Expect(s.Revision()).To(BeZero(), "the higher candidate is tried first")
+	install(s, configuration.CandidateTimeout, other)
+	Expect(s.Revision()).To(Equal(config.Revision(8)))
+	Expect(s.LastRefusal().Code).To(Equal(result.DocumentUnavailable))
+})
+
+// model is the oracle of the store: the content first in force at each revision.
+type model struct {
+	store *configuration.Store
+	pool  []revision
+	now   time.Duration
+	high  config.Revision
+	taken map[config.Revision]string
+}
+
+func newModel() *model {
+	m := &model{store: configuration.New(), taken: make(map[config.Revision]string)}
+	for n := config.Revision(1); n <= 6; n++ {
+		m.pool = append(m.pool, publish(n, 100+int(n)), publish(n, 200), publish(n, -1))
+	}
+	return m
+}
+
+func (m *model) check(t *rapid.T) {
+	r := m.store.Revision()
+	if r < m.high {
+		t.Fatalf("revision fell from %d to %d", m.high, r)
+	}
+	m.high = r
+	if r == 0 {
+		return
+	}
+	hash := m.store.ManifestHash()
+	if m.taken[r] == "" {
+		m.taken[r] = hash
+	}
+	if m.taken[r] != hash {
+		t.Fatalf("revision %d changed its content", r)
+	}
+	for _, p := range m.pool {
+		if config.Hash(p.manifest) == hash && !p.valid {
+			t.Fatalf("invalid revision %d came into force", r)
+		}
+	}
+}
+
+func (m *model) supply(t *rapid.T) {
+	wanted := m.store.Wanted()
+	if len(wanted) == 0 {
+		return
+	}
+	ref := rapid.SampledFrom(wanted).Draw(t, "document")
+	for _, p := range m.pool {
+		if data := p.documents[ref.Hash]; data != nil {
+			cut := rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "cut")
+			_, _ = m.store.Supply(m.now, ref.Hash, data[:len(data)-cut])
+			return
+		}
+	}
+}
+
+// TestRevisionNeverFalls drives a store with conflicting, older, invalid and torn
+// values in any order, and ends by publishing a valid higher revision.
+func TestRevisionNeverFalls(t *testing.T) {
+	testsuite.Check(t, func(t *rapid.T) {
+		m := newModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.check,
+			"offer": func(t *rapid.T) {
+				p := rapid.SampledFrom(m.pool).Draw(t, "revision")
+				cut := rapid.SampledFrom([]int{0, 0, 0, 0, 5}).Draw(t, "cut")
+				_, _ = m.store.Offer(m.now, p.manifest[:len(p.manifest)-cut])
+			},
+			"supply": m.supply,
+			"wait":   func(t *rapid.T) { m.now += time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second },
+		})
+		install(m.store, m.now, publish(7, 300))
+		if m.store.Revision() != 7 {
+			t.Fatalf("revision 7 did not come into force; %d did", m.store.Revision())
+		}
+	})
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -174,6 +174,8 @@
 	DocumentTooLarge Code = 616
 	// PlatformUnavailable: the platform's configuration service does not answer.
 	PlatformUnavailable Code = 617
+	// DocumentUnavailable: no source has the documents of a manifest.
+	DocumentUnavailable Code = 618
 	// FrameInvalid: a peer frame is torn or cannot be decoded.
 	FrameInvalid Code = 620
 	// FrameTooLarge: a peer frame is over the size limit.
