--- /dev/null
+++ b/api/answer.go
@@ -0,0 +1,90 @@
+package api
+
+import "github.com/gypsumlug/gypsumlug/internal/result"
+
+// Class is the hundred of a Code; it alone tells whether a request ran.
+type Class = result.Class
+
+// The classes of answers.
+const (
+	// ClassComplete is a whole answer, or a submit that ran once.
+	ClassComplete = result.ClassComplete
+	// ClassPartial is an answer with missing ranges or cut hits.
+	ClassPartial = result.ClassPartial
+	// ClassNotRun means that nothing ran, and for a permit that nothing will.
+	ClassNotRun = result.ClassNotRun
+	// ClassUnknown means that the request may have run.
+	ClassUnknown = result.ClassUnknown
+	// ClassFailed means that the request ran and failed.
+	ClassFailed = result.ClassFailed
+)
+
+// Error is a numbered refusal of a request.
+type Error = result.Error
+
+// ErrorAnswer is the answer to a request of no known path or method. Its fields
+// are part of every answer.
+type ErrorAnswer struct {
+	RequestID string `json:"request_id,omitempty"`
+	Code      Code   `json:"code"`
+	Name      string `json:"name"`
+	Class     string `json:"class"`
+	Field     string `json:"field,omitempty"`
+	Reason    string `json:"reason,omitempty"`
+}
+
+// LiveAnswer is the answer of PathLive.
+type LiveAnswer struct {
+	Live bool `json:"live"`
+}
+
+// NewErrorAnswer returns the answer that reports e.
+func NewErrorAnswer(requestID string, e *Error) ErrorAnswer {
+	return ErrorAnswer{
+		RequestID: requestID,
+		Code:      e.Code,
+		Name:      e.Code.String(),
+		Class:     e.Code.Class().String(),
+		Field:     e.Field,
+		Reason:    e.Reason,
+	}
+}
+
+// RefuseQuery returns the answer to q that reports e.
+func RefuseQuery(q QueryRequest, e *Error) QueryAnswer {
+	return QueryAnswer{
+		RequestID: q.RequestID,
+		Code:      e.Code,
+		Name:      e.Code.String(),
+		Class:     e.Code.Class().String(),
+		Field:     e.Field,
+		Reason:    e.Reason,
+		Hits:      []Hit{},
+	}
+}
+
+// RefusePermit returns the answer to p that reports e.
+func RefusePermit(p PermitRequest, e *Error) PermitAnswer {
+	return PermitAnswer{
+		RequestID: p.RequestID,
+		Code:      e.Code,
+		Name:      e.Code.String(),
+		Class:     e.Code.Class().String(),
+		Field:     e.Field,
+		Reason:    e.Reason,
+	}
+}
+
+// RefuseSubmit returns the answer to s that reports e, which may also be of
+// class unknown or failed.
+func RefuseSubmit(s SubmitRequest, e *Error) SubmitAnswer {
+	return SubmitAnswer{
+		RequestID: s.RequestID,
+		Permit:    s.Permit,
+		Code:      e.Code,
+		Name:      e.Code.String(),
+		Class:     e.Code.Class().String(),
+		Field:     e.Field,
+		Reason:    e.Reason,
+	}
+}
--- a/api/api.go
+++ b/api/api.go
@@ -14,6 +14,33 @@
 	PathPermit = "/v1/permit"
 	PathSubmit = "/v1/submit"
 	PathStatus = "/v1/status"
+	// PathLive answers 200 while the process runs.
+	PathLive = "/live"
+	// PathReady answers 200 while the host takes requests, else 503.
+	PathReady = "/ready"
+)
+
+// Headers of the caller API.
+const (
+	// HeaderRequestID gives the request ID when the body has none; every answer
+	// has it.
+	HeaderRequestID = "X-Request-ID"
+	// HeaderCode repeats the result code of the answer.
+	HeaderCode = "X-Result-Code"
+)
+
+// Bounds of the caller API.
+const (
+	// MaxBodyBytes is the largest body of a request.
+	MaxBodyBytes = 1 << 20
+	// MaxAnswerBytes bounds the hits of an answer; what it cuts is reported.
+	MaxAnswerBytes = 8 << 20
+	// MaxNameBytes bounds request IDs and the names of services and callers.
+	MaxNameBytes = 128
+	// MaxPermits bounds the permits of one request.
+	MaxPermits = 1000
+	// MaxBudgetMS is the longest budget that can be asked for, in milliseconds.
+	MaxBudgetMS = 600_000
 )
 
 // Code is a numbered result; docs/RESULT-CODES.md lists them.
@@ -53,7 +80,9 @@
 	// Revision is the configuration that the query ran under.
 	Revision uint64   `json:"revision,omitempty"`
 	Coverage Coverage `json:"coverage"`
-	Hits     []Hit    `json:"hits"`
+	// Truncated tells that a bound cut the hits, whatever the code is.
+	Truncated bool  `json:"truncated,omitempty"`
+	Hits      []Hit `json:"hits"`
 }
 
 // Coverage states which keys of the snapshot an answer covers.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -88,6 +88,8 @@
 	NotFound Code = 326
 	// WrongMediaType: the body is not application/json.
 	WrongMediaType Code = 327
+	// BodyTimeout: the body did not arrive in time.
+	BodyTimeout Code = 328
 	// RelayQueueFull: the relay's queue of the replica is full.
 	RelayQueueFull Code = 330
 	// EndpointShed: the endpoint refused because it is overloaded.
