Add stand-ins for endpoints and the platform

The demonstration, the tests and the load tool need endpoints and a platform that answer from memory and fail on demand.

A Recorder shared by all endpoints counts the starts of each permit and body.

--- /dev/null
+++ b/internal/standin/connection.go
@@ -0,0 +1,125 @@
+package standin
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// connection is an accepted connection that can go silent: what arrives on it
+// is dropped, what is written to it never leaves, and it stays open.
+type connection struct {
+	net.Conn
+	silent    atomic.Bool
+	duplicate atomic.Bool
+	cost      time.Duration
+	costOnce  sync.Once
+	onClose   func()
+	closeOnce sync.Once
+}
+
+// Read pays the cost of the connection once and drops data when silent.
+func (c *connection) Read(p []byte) (int, error) {
+	c.costOnce.Do(c.pay)
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write drops data when silent and repeats a reply when told to.
+func (c *connection) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	if bytes.HasPrefix(p, []byte("HTTP/")) && c.duplicate.CompareAndSwap(true, false) {
+		if n, err := c.Conn.Write(p); err != nil {
+			return n, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and reports it once.
+func (c *connection) Close() error {
+	c.closeOnce.Do(c.onClose)
+	return c.Conn.Close()
+}
+
+func (c *connection) pay() {
+	if c.cost > 0 {
+		time.Sleep(c.cost)
+	}
+}
+
+// abort closes the connection with a reset, as a crashed process does.
+func (c *connection) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// connections is the set of an endpoint's open connections.
+type connections struct {
+	mu      sync.Mutex
+	open    map[*connection]struct{}
+	limit   int
+	highest int
+	refused int64
+}
+
+// add registers a connection; it reports false above the limit.
+func (s *connections) add(c *connection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit > 0 && len(s.open) >= s.limit {
+		s.refused++
+		return false
+	}
+	if s.open == nil {
+		s.open = make(map[*connection]struct{})
+	}
+	s.open[c] = struct{}{}
+	s.highest = max(s.highest, len(s.open))
+	return true
+}
+
+func (s *connections) remove(c *connection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+func (s *connections) all() []*connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*connection, 0, len(s.open))
+	for c := range s.open {
+		out = append(out, c)
+	}
+	return out
+}
+
+// listener wraps accepted connections and enforces the connection limit.
+type listener struct {
+	net.Listener
+	endpoint *Endpoint
+}
+
+// Accept returns the next connection within the limit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.endpoint.admit(raw); c != nil {
+			return c, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,309 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// DeploymentOptions describes a platform and the endpoints of several services.
+type DeploymentOptions struct {
+	Services []ServiceShape
+	// DataCentres are spread over the replicas of each shard in turn.
+	DataCentres []string
+	Seed        uint64
+	// RecordBodies makes endpoints count the bodies that ran.
+	RecordBodies bool
+}
+
+// Deployment is a platform that publishes a configuration and the endpoints
+// that the configuration names.
+type Deployment struct {
+	Platform *Platform
+	Recorder *Recorder
+
+	mu        sync.Mutex
+	options   DeploymentOptions
+	services  []*deployedService
+	endpoints map[string]*Endpoint
+	revision  config.Revision
+}
+
+type deployedService struct {
+	shape     ServiceShape
+	service   *config.Service
+	index     *config.Index
+	endpoints []*Endpoint
+}
+
+// NewDeployment starts the platform and all endpoints and publishes revision 1
+// with snapshot 1 of every index.
+func NewDeployment(options DeploymentOptions) (*Deployment, error) {
+	if len(options.DataCentres) == 0 {
+		options.DataCentres = []string{"dc1"}
+	}
+	d := &Deployment{
+		Platform:  NewPlatform(),
+		Recorder:  NewRecorder(),
+		options:   options,
+		endpoints: make(map[string]*Endpoint),
+	}
+	if err := d.start(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() error {
+	if err := d.Platform.Start(); err != nil {
+		return err
+	}
+	for _, shape := range d.options.Services {
+		if err := d.startService(shape.withDefaults()); err != nil {
+			return err
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.publish()
+}
+
+func (d *Deployment) startService(shape ServiceShape) error {
+	s := &deployedService{shape: shape, service: shape.service()}
+	s.index = &config.Index{Format: config.FormatVersion, Service: shape.Name}
+	d.services = append(d.services, s)
+	groups := make([][]string, shape.groups())
+	for g := range groups {
+		for r := range shape.Replicas {
+			e, err := d.startEndpoint(s, g, r)
+			if err != nil {
+				return err
+			}
+			groups[g] = append(groups[g], e.ID())
+		}
+	}
+	s.index.Snapshots = []config.Snapshot{shape.snapshot(1, groups)}
+	s.assign()
+	return nil
+}
+
+func (d *Deployment) startEndpoint(s *deployedService, group, replica int) (*Endpoint, error) {
+	shape := s.shape
+	number := len(d.endpoints)
+	e := NewEndpoint(EndpointOptions{
+		ID:             fmt.Sprintf("%s-%d-%d", shape.Name, group, replica),
+		Service:        shape.Name,
+		Slots:          shape.Slots,
+		SlotWait:       shape.SlotWait,
+		MaxConnections: shape.MaxConnections,
+		ConnectCost:    time.Duration(shape.ConnectCostMS) * time.Millisecond,
+		ServiceTime:    shape.ServiceTime,
+		Seed:           mix(d.options.Seed, uint64(number)),
+		Recorder:       d.Recorder,
+		RecordBodies:   d.options.RecordBodies,
+	})
+	if err := e.Start(); err != nil {
+		return nil, err
+	}
+	d.endpoints[e.ID()] = e
+	s.endpoints = append(s.endpoints, e)
+	s.index.Endpoints = append(s.index.Endpoints, config.Endpoint{
+		ID:             e.ID(),
+		Address:        e.Address(),
+		DataCentre:     d.options.DataCentres[(group+replica)%len(d.options.DataCentres)],
+		Slots:          shape.Slots,
+		MaxConnections: shape.MaxConnections,
+		ConnectCostMS:  shape.ConnectCostMS,
+	})
+	return e, nil
+}
+
+// Close stops the platform and all endpoints.
+func (d *Deployment) Close() {
+	d.Platform.Close()
+	for _, e := range d.Endpoints() {
+		e.Close()
+	}
+}
+
+// Endpoint returns the endpoint with the given ID, or nil.
+func (d *Deployment) Endpoint(id string) *Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoints[id]
+}
+
+// Endpoints returns all endpoints in the order of their services.
+func (d *Deployment) Endpoints() []*Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*Endpoint
+	for _, s := range d.services {
+		out = append(out, s.endpoints...)
+	}
+	return out
+}
+
+// Replicas returns the endpoints that hold a shard of the newest snapshot.
+func (d *Deployment) Replicas(service string, shard int) []*Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(service)
+	if s == nil {
+		return nil
+	}
+	var out []*Endpoint
+	for _, id := range s.newest().Shards[shard].Replicas {
+		out = append(out, d.endpoints[id])
+	}
+	return out
+}
+
+// Revision returns the revision published last.
+func (d *Deployment) Revision() config.Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// Snapshot returns the newest snapshot ID of a service's index.
+func (d *Deployment) Snapshot(service string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.service(service); s != nil {
+		return s.newest().ID
+	}
+	return 0
+}
+
+// PublishSnapshot adds a newer snapshot with the same shards to a service's
+// index, drops all but the newest keep from configuration and endpoints, and
+// publishes the next revision. It returns the new snapshot's ID.
+func (d *Deployment) PublishSnapshot(service string, keep int) (uint64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(service)
+	if s == nil {
+		return 0, unknownService(service)
+	}
+	next := s.newest()
+	next.ID++
+	snapshots := append(slices.Clone(s.index.Snapshots), next)
+	s.index.Snapshots = snapshots[max(0, len(snapshots)-max(keep, 1)):]
+	s.assign()
+	return next.ID, d.publish()
+}
+
+// MoveShard moves a shard of the newest snapshot to the endpoints with the given
+// IDs and publishes the next revision if publish is set. Without it, hosts learn
+// of the move from refusals only, until the next publication.
+func (d *Deployment) MoveShard(service string, shard int, endpointIDs []string, publish bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(service)
+	if s == nil {
+		return unknownService(service)
+	}
+	last := len(s.index.Snapshots) - 1
+	s.index.Snapshots = slices.Clone(s.index.Snapshots)
+	shards := slices.Clone(s.index.Snapshots[last].Shards)
+	shards[shard].Replicas = endpointIDs
+	s.index.Snapshots[last].Shards = shards
+	s.assign()
+	if !publish {
+		return nil
+	}
+	return d.publish()
+}
+
+// Publish publishes the next revision with what the deployment holds now.
+func (d *Deployment) Publish() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.publish()
+}
+
+// Service returns the service document of a service, or nil. It takes effect
+// when changed before the next publication.
+func (d *Deployment) Service(name string) *config.Service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.service(name); s != nil {
+		return s.service
+	}
+	return nil
+}
+
+// publish builds and publishes the next revision; the caller holds the mutex.
+func (d *Deployment) publish() error {
+	d.revision++
+	m := config.Manifest{Format: config.FormatVersion, Revision: d.revision}
+	documents := make(map[string][]byte)
+	for _, s := range d.services {
+		addDocument(&m, documents, config.KindService, s.shape.Name, s.service)
+		addDocument(&m, documents, config.KindIndex, s.shape.Name, s.index)
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	if _, err := config.NewBundle(data, documents); err != nil {
+		return err
+	}
+	return d.Platform.Publish(data, documents)
+}
+
+func (d *Deployment) service(name string) *deployedService {
+	for _, s := range d.services {
+		if s.shape.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *deployedService) newest() config.Snapshot {
+	return s.index.Snapshots[len(s.index.Snapshots)-1]
+}
+
+// assign gives each endpoint the ranges that the index says it holds.
+func (s *deployedService) assign() {
+	for _, e := range s.endpoints {
+		var held []Held
+		for _, snapshot := range s.index.Snapshots {
+			held = append(held, Held{Snapshot: snapshot.ID, Ranges: rangesOf(snapshot, e.ID())})
+		}
+		e.SetHeld(held)
+	}
+}
+
+func rangesOf(snapshot config.Snapshot, endpointID string) []keyrange.Range {
+	var out []keyrange.Range
+	for _, shard := range snapshot.Shards {
+		if slices.Contains(shard.Replicas, endpointID) {
+			out = append(out, shard.Range)
+		}
+	}
+	return keyrange.Normalize(out)
+}
+
+func addDocument(m *config.Manifest, documents map[string][]byte, kind config.Kind, name string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // Documents are plain structs, which always encode.
+	}
+	hash := config.Hash(data)
+	documents[hash] = data
+	m.Documents = append(m.Documents, config.DocumentRef{Kind: kind, Name: name, Hash: hash, Size: len(data)})
+}
+
+func unknownService(name string) error {
+	return result.FieldErrorf(result.UnknownService, "service", "the deployment has no service %q", name)
+}
--- /dev/null
+++ b/internal/standin/endpoint.go
@@ -0,0 +1,276 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+const (
+	// listenRetryInterval is the time between attempts to open the old address.
+	listenRetryInterval = 10 * time.Millisecond
+	loopbackAny         = "127.0.0.1:0"
+)
+
+// Held is a part of a snapshot that an endpoint holds.
+type Held struct {
+	Snapshot uint64
+	Ranges   []keyrange.Range
+}
+
+// EndpointOptions describes one endpoint.
+type EndpointOptions struct {
+	// ID is the endpoint's ID in the index document.
+	ID      string
+	Service string
+	// Slots is the number of requests that run at once; zero means no limit.
+	Slots int
+	// SlotWait is how long a request waits for a slot before it is refused with
+	// code 331.
+	SlotWait time.Duration
+	// MaxConnections caps open connections; zero means no cap.
+	MaxConnections int
+	// ConnectCost is the time that a new connection takes before its first byte
+	// is read.
+	ConnectCost time.Duration
+	// ServiceTime is the mean time of a request; requests vary evenly by half of
+	// it to either side.
+	ServiceTime time.Duration
+	// Address to listen on; empty means a free port on 127.0.0.1.
+	Address string
+	Seed    uint64
+	Held    []Held
+	// Recorder counts what ran; nil gives the endpoint one of its own.
+	Recorder *Recorder
+	// RecordBodies also counts the bodies that ran.
+	RecordBodies bool
+}
+
+// Counts are the counters of an endpoint.
+type Counts struct {
+	// Requests counts searches and submits that arrived.
+	Requests int64
+	// Ran counts those that were started.
+	Ran int64
+	// Cancels counts cancellations that arrived.
+	Cancels int64
+	// Refused counts refusals by code.
+	Refused map[result.Code]int64
+	// ConnectionsRefused counts connections above the cap.
+	ConnectionsRefused int64
+	// Connections is the number of open connections, HighestConnections the
+	// highest that there were.
+	Connections        int
+	HighestConnections int
+	// InFlight is the number of requests that run now.
+	InFlight int
+}
+
+// Endpoint is an HTTP server of the endpoint protocol.
+type Endpoint struct {
+	options EndpointOptions
+	faults  atomic.Pointer[Faults]
+	held    atomic.Pointer[[]Held]
+	slots   chan struct{}
+	conns   connections
+	running running
+
+	sequence, requests, ran, cancels atomic.Int64
+	inFlight                         atomic.Int64
+	refusedMu                        sync.Mutex
+	refused                          map[result.Code]int64
+
+	mu       sync.Mutex
+	address  string
+	server   *http.Server
+	closed   bool
+	downTill *time.Timer
+}
+
+// NewEndpoint returns an endpoint that is not started yet.
+func NewEndpoint(options EndpointOptions) *Endpoint {
+	if options.Recorder == nil {
+		options.Recorder = NewRecorder()
+	}
+	e := &Endpoint{options: options, refused: make(map[result.Code]int64)}
+	e.conns.limit = options.MaxConnections
+	if options.Slots > 0 {
+		e.slots = make(chan struct{}, options.Slots)
+	}
+	e.faults.Store(&Faults{})
+	e.SetHeld(options.Held)
+	return e
+}
+
+// Start listens and serves until Close.
+func (e *Endpoint) Start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	address := e.options.Address
+	if address == "" {
+		address = loopbackAny
+	}
+	return e.listen(address)
+}
+
+// Address returns the IP and port that the endpoint listens on.
+func (e *Endpoint) Address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.address
+}
+
+// ID returns the endpoint's ID.
+func (e *Endpoint) ID() string { return e.options.ID }
+
+// Close stops the endpoint and closes its connections.
+func (e *Endpoint) Close() {
+	e.mu.Lock()
+	e.closed = true
+	if e.downTill != nil {
+		e.downTill.Stop()
+	}
+	e.mu.Unlock()
+	e.goDown()
+}
+
+// SetFaults replaces the faults. Requests that are running keep theirs.
+func (e *Endpoint) SetFaults(f Faults) {
+	before := e.faults.Swap(&f)
+	switch {
+	case f.Lost && !before.Lost:
+		e.goDown()
+	case !f.Lost && before.Lost:
+		e.comeBack()
+	}
+}
+
+// Faults returns the faults in force.
+func (e *Endpoint) Faults() Faults { return *e.faults.Load() }
+
+// SetHeld replaces the parts of snapshots that the endpoint holds.
+func (e *Endpoint) SetHeld(held []Held) { e.held.Store(&held) }
+
+// Held returns the parts of snapshots that the endpoint holds.
+func (e *Endpoint) Held() []Held { return *e.held.Load() }
+
+// Silence makes every open connection silent for good. New ones work.
+func (e *Endpoint) Silence() {
+	for _, c := range e.conns.all() {
+		c.silent.Store(true)
+	}
+}
+
+// Runs returns how often the submit with the given ID was started.
+func (e *Endpoint) Runs(id string) int { return e.options.Recorder.Runs(id) }
+
+// Counts returns the endpoint's counters.
+func (e *Endpoint) Counts() Counts {
+	c := Counts{
+		Requests: e.requests.Load(),
+		Ran:      e.ran.Load(),
+		Cancels:  e.cancels.Load(),
+		InFlight: int(e.inFlight.Load()),
+		Refused:  make(map[result.Code]int64),
+	}
+	e.refusedMu.Lock()
+	for code, n := range e.refused {
+		c.Refused[code] = n
+	}
+	e.refusedMu.Unlock()
+	e.conns.mu.Lock()
+	defer e.conns.mu.Unlock()
+	c.ConnectionsRefused = e.conns.refused
+	c.Connections = len(e.conns.open)
+	c.HighestConnections = e.conns.highest
+	return c
+}
+
+// listen opens the address and serves; the caller holds the mutex.
+func (e *Endpoint) listen(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "endpoint %s cannot listen", e.options.ID)
+	}
+	e.address = l.Addr().String()
+	e.server = &http.Server{Handler: e.handler(), ConnContext: withConnection}
+	go func(s *http.Server) { _ = s.Serve(&listener{Listener: l, endpoint: e}) }(e.server)
+	return nil
+}
+
+// goDown closes the listener and resets all connections.
+func (e *Endpoint) goDown() {
+	e.mu.Lock()
+	server := e.server
+	e.server = nil
+	e.mu.Unlock()
+	if server == nil {
+		return
+	}
+	e.abortConnections()
+	_ = server.Close()
+	e.abortConnections()
+}
+
+func (e *Endpoint) abortConnections() {
+	for _, c := range e.conns.all() {
+		c.abort()
+	}
+}
+
+// comeBack listens on the old address again; it retries while that is taken.
+func (e *Endpoint) comeBack() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed || e.server != nil || e.address == "" || e.Faults().Lost {
+		return
+	}
+	if e.listen(e.address) != nil {
+		e.downTill = time.AfterFunc(listenRetryInterval, e.comeBack)
+	}
+}
+
+// crash takes the endpoint down for a time.
+func (e *Endpoint) crash(d time.Duration) {
+	e.goDown()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.closed {
+		e.downTill = time.AfterFunc(d, e.comeBack)
+	}
+}
+
+// admit wraps a connection, or closes it and returns nil above the cap.
+func (e *Endpoint) admit(raw net.Conn) *connection {
+	c := &connection{Conn: raw, cost: e.options.ConnectCost + e.faults.Load().ConnectCost}
+	c.onClose = func() { e.conns.remove(c) }
+	if !e.conns.add(c) {
+		_ = raw.Close()
+		return nil
+	}
+	return c
+}
+
+func (e *Endpoint) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+endpointapi.PathSearch, e.search)
+	mux.HandleFunc("POST "+endpointapi.PathSubmit, e.submit)
+	mux.HandleFunc("POST "+endpointapi.PathCancel, e.cancel)
+	mux.HandleFunc("GET "+endpointapi.PathStatus, e.status)
+	return mux
+}
+
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
--- /dev/null
+++ b/internal/standin/recorder.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const recorderShards = 64
+
+// Recorder counts what endpoints ran. One recorder may serve many endpoints, so
+// that it sees a request that ran on two of them.
+type Recorder struct {
+	shards [recorderShards]recorderShard
+}
+
+type recorderShard struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// bodies holds the hashes of the bodies that ran.
+	bodies map[uint64]int
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	r := &Recorder{}
+	for i := range r.shards {
+		r.shards[i].runs = make(map[string]int)
+		r.shards[i].bodies = make(map[uint64]int)
+	}
+	return r
+}
+
+// Runs returns how often the submit with the given ID, a permit, was started.
+func (r *Recorder) Runs(id string) int {
+	s := r.shard(xxhash.Sum64String(id))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// BodyRuns returns how often a search or submit with the given body was started.
+func (r *Recorder) BodyRuns(body string) int {
+	hash := xxhash.Sum64String(body)
+	s := r.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodies[hash]
+}
+
+// Repeated returns the IDs of submits that were started more than once.
+func (r *Recorder) Repeated() []string {
+	var out []string
+	for i := range r.shards {
+		out = append(out, r.shards[i].repeated()...)
+	}
+	return out
+}
+
+func (s *recorderShard) repeated() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for id, n := range s.runs {
+		if n > 1 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (r *Recorder) addRun(id string) {
+	s := r.shard(xxhash.Sum64String(id))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+}
+
+func (r *Recorder) addBody(body string) {
+	hash := xxhash.Sum64String(body)
+	s := r.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodies[hash]++
+}
+
+func (r *Recorder) shard(hash uint64) *recorderShard { return &r.shards[hash%recorderShards] }
--- /dev/null
+++ b/internal/standin/shapes.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+)
+
+// Defaults of generated services.
+const (
+	defaultDeadlineMS      = 1000
+	defaultLatencyTargetMS = 250
+	defaultSlots           = 8
+	defaultMaxConnections  = 200
+	defaultMaxHits         = 2000
+	defaultQueueLimit      = 512
+	defaultInFlightLimit   = 512
+	defaultSlotWait        = 20 * time.Millisecond
+)
+
+// DefaultCaller is the caller that every generated service lists.
+const DefaultCaller = "desk"
+
+// ServiceShape describes a service and its endpoints. Zero fields take defaults.
+type ServiceShape struct {
+	Name string
+	// Shards is the number of key ranges of the index.
+	Shards int
+	// Replicas is the number of endpoints that hold each shard.
+	Replicas int
+	// ShardsPerEndpoint is how many shards one endpoint holds; zero means one.
+	// The service has Replicas endpoints for every ShardsPerEndpoint shards.
+	ShardsPerEndpoint int
+	Slots             int
+	MaxConnections    int
+	ConnectCostMS     int
+	ServiceTime       time.Duration
+	SlotWait          time.Duration
+	Urgency           config.Urgency
+	// Preference is config.PreferLatency if empty.
+	Preference      config.Preference
+	NotRepeatable   bool
+	DeadlineMS      int
+	LatencyTargetMS int
+	// Adjust changes the generated service document; it may be nil.
+	Adjust func(*config.Service)
+}
+
+func (s ServiceShape) withDefaults() ServiceShape {
+	s.Shards = max(s.Shards, 1)
+	s.Replicas = max(s.Replicas, 1)
+	s.ShardsPerEndpoint = max(s.ShardsPerEndpoint, 1)
+	setDefault(&s.Slots, defaultSlots)
+	setDefault(&s.MaxConnections, defaultMaxConnections)
+	setDefault(&s.DeadlineMS, defaultDeadlineMS)
+	setDefault(&s.LatencyTargetMS, min(defaultLatencyTargetMS, s.DeadlineMS))
+	if s.SlotWait == 0 {
+		s.SlotWait = defaultSlotWait
+	}
+	if s.Preference == "" {
+		s.Preference = config.PreferLatency
+	}
+	return s
+}
+
+// groups is the number of sets of endpoints with the same shards.
+func (s ServiceShape) groups() int {
+	return (s.Shards + s.ShardsPerEndpoint - 1) / s.ShardsPerEndpoint
+}
+
+func (s ServiceShape) service() *config.Service {
+	out := &config.Service{
+		Format:          config.FormatVersion,
+		Name:            s.Name,
+		Urgency:         s.Urgency,
+		Preference:      s.Preference,
+		Repeatable:      !s.NotRepeatable,
+		LatencyTargetMS: s.LatencyTargetMS,
+		DeadlineMS:      s.DeadlineMS,
+		MaxHits:         defaultMaxHits,
+		QueueLimit:      defaultQueueLimit,
+		InFlightLimit:   defaultInFlightLimit,
+		Hedge:           config.Hedge{PercentilePerMille: 980, Max: 2, BudgetPerMille: 40},
+		Retry:           config.Retry{BudgetPerMille: 100, Max: 3},
+		Permit:          config.Permit{LifetimeMS: 30_000, RetentionMS: 60_000, Limit: 10_000},
+		Callers:         []config.Caller{{Name: DefaultCaller}},
+	}
+	if s.NotRepeatable {
+		out.Hedge = config.Hedge{}
+	}
+	if s.Adjust != nil {
+		s.Adjust(out)
+	}
+	return out
+}
+
+// snapshot returns snapshot id with the shards spread over the endpoint IDs.
+func (s ServiceShape) snapshot(id uint64, endpointIDs [][]string) config.Snapshot {
+	out := config.Snapshot{ID: id}
+	for i, r := range keyrange.Split(s.Shards) {
+		out.Shards = append(out.Shards, config.Shard{Range: r, Replicas: endpointIDs[i/s.ShardsPerEndpoint]})
+	}
+	return out
+}
+
+func setDefault(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,314 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/platformapi"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+)
+
+func TestStandIns(t *testing.T) { testsuite.RunSpecs(t, "stand-ins") }
+
+const service = "desk"
+
+func startEndpoint(options EndpointOptions) *Endpoint {
+	options.ID = "e1"
+	options.Service = service
+	options.Held = []Held{{Snapshot: 2, Ranges: []keyrange.Range{{Start: 0, End: keyrange.End / 2}}}}
+	e := NewEndpoint(options)
+	Expect(e.Start()).To(Succeed())
+	DeferCleanup(e.Close)
+	return e
+}
+
+func newClient() *http.Client {
+	transport := &http.Transport{}
+	DeferCleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func lowerHalf() keyrange.Range { return keyrange.Range{Start: 0, End: keyrange.End / 2} }
+
+func searchRequest(id string) endpointapi.Request {
+	return endpointapi.Request{ID: id, Service: service, Snapshot: 2, Range: lowerHalf(), Body: "q", BudgetMS: 60_000}
+}
+
+func post(c *http.Client, e *Endpoint, path string, request any) (int, endpointapi.Reply, error) {
+	data, err := json.Marshal(request)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := c.Post("http://"+e.Address()+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, endpointapi.Reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, endpointapi.Reply{}, err
+	}
+	var reply endpointapi.Reply
+	_ = json.Unmarshal(body, &reply)
+	return response.StatusCode, reply, nil
+}
+
+type faultCase struct {
+	faults Faults
+	change func(*endpointapi.Request)
+	status int
+	code   result.Code
+}
+
+var _ = Describe("endpoint", func() {
+	DescribeTable("answers, refuses before the start, or fails after it",
+		func(c faultCase) {
+			e := startEndpoint(EndpointOptions{RecordBodies: true})
+			e.SetFaults(c.faults)
+			request := searchRequest("a")
+			if c.change != nil {
+				c.change(&request)
+			}
+			status, reply, err := post(newClient(), e, endpointapi.PathSearch, request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(c.status))
+			Expect(reply.Code).To(Equal(c.code))
+			Expect(reply.ID).To(Equal("a"))
+			ran := 1
+			if status == endpointapi.StatusRefused {
+				ran = 0
+			}
+			Expect(e.options.Recorder.BodyRuns(request.Body)).To(Equal(ran))
+			Expect(e.Counts().Refused[c.code]).To(Equal(int64(1 - ran)))
+		},
+		Entry("no fault", faultCase{status: 200}),
+		Entry("sheds", faultCase{faults: Faults{ShedPerMille: 1000}, status: 503, code: 331}),
+		Entry("leaving", faultCase{faults: Faults{Leaving: true}, status: 503, code: 332}),
+		Entry("cold", faultCase{faults: Faults{Cold: true}, status: 503, code: 333}),
+		Entry("snapshot gone", faultCase{faults: Faults{SnapshotGone: true}, status: 503, code: 334}),
+		Entry("unknown snapshot", faultCase{change: func(r *endpointapi.Request) { r.Snapshot = 3 }, status: 503, code: 334}),
+		Entry("range never held", faultCase{change: func(r *endpointapi.Request) { r.Range = keyrange.All() }, status: 503, code: 335}),
+		Entry("range moved", faultCase{faults: Faults{Moved: []keyrange.Range{{Start: 5, End: 6}}}, status: 503, code: 335}),
+		Entry("fails", faultCase{faults: Faults{FailPerMille: 1000}, status: 500, code: 500}),
+		Entry("no budget", faultCase{change: func(r *endpointapi.Request) { r.BudgetMS = 0 }, status: 500, code: 408}),
+	)
+
+	It("returns exactly the expected hits, and another snapshot's under that fault", func() {
+		e := startEndpoint(EndpointOptions{})
+		_, reply, err := post(newClient(), e, endpointapi.PathSearch, searchRequest("a"))
+		Expect(err).NotTo(HaveOccurred())
+		expected, _ := ExpectedHits(service, 2, lowerHalf(), "q", 0)
+		Expect(reply.Hits).To(Equal(expected))
+		Expect(expected).NotTo(BeEmpty())
+		e.SetFaults(Faults{OtherSnapshotPerMille: 1000})
+		_, reply, err = post(newClient(), e, endpointapi.PathSearch, searchRequest("b"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Snapshot).To(Equal(uint64(1)))
+		Expect(reply.Hits).NotTo(Equal(expected))
+	})
+
+	It("counts each start of a submit", func() {
+		e := startEndpoint(EndpointOptions{})
+		submit := endpointapi.Request{ID: "p", Body: "three cartons", BudgetMS: 1000}
+		for range 2 {
+			status, reply, err := post(newClient(), e, endpointapi.PathSubmit, submit)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(200))
+			Expect(reply.Outcome).To(Equal(ExpectedOutcome(service, submit.Body)))
+		}
+		Expect(e.Runs("p")).To(Equal(2))
+		Expect(e.options.Recorder.Repeated()).To(Equal([]string{"p"}))
+	})
+
+	It("refuses without a free slot and cancels by ID", func() {
+		e := startEndpoint(EndpointOptions{Slots: 1, ServiceTime: time.Hour})
+		client := newClient()
+		first := make(chan result.Code, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, reply, err := post(client, e, endpointapi.PathSearch, searchRequest("a"))
+			Expect(err).NotTo(HaveOccurred())
+			first <- reply.Code
+		}()
+		Eventually(func() int { return e.Counts().InFlight }).Should(Equal(1))
+		status, reply, err := post(client, e, endpointapi.PathSearch, searchRequest("b"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(endpointapi.StatusRefused))
+		Expect(reply.Code).To(Equal(result.EndpointShed))
+		Expect(reply.Load.InFlight).To(Equal(1))
+		status, _, err = post(client, e, endpointapi.PathCancel, endpointapi.Cancel{ID: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusNoContent))
+		Eventually(first).Should(Receive(Equal(result.Cancelled)))
+	})
+
+	It("closes connections above its cap", func() {
+		e := startEndpoint(EndpointOptions{MaxConnections: 1})
+		held, err := net.Dial("tcp", e.Address())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return e.Counts().Connections }).Should(Equal(1))
+		_, _, err = post(newClient(), e, endpointapi.PathSearch, searchRequest("a"))
+		Expect(err).To(HaveOccurred())
+		Expect(e.Counts().ConnectionsRefused).To(BeNumerically(">=", 1))
+		Expect(held.Close()).To(Succeed())
+		Eventually(func() int { return e.Counts().Connections }).Should(BeZero())
+		_, _, err = post(newClient(), e, endpointapi.PathSearch, searchRequest("b"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Counts().HighestConnections).To(Equal(1))
+	})
+
+	It("keeps silent connections open while new ones work", func() {
+		e := startEndpoint(EndpointOptions{})
+		old, fresh := newClient(), newClient()
+		_, _, err := post(old, e, endpointapi.PathSearch, searchRequest("a"))
+		Expect(err).NotTo(HaveOccurred())
+		e.Silence()
+		old.Timeout = 50 * time.Millisecond
+		_, _, err = post(old, e, endpointapi.PathSearch, searchRequest("b"))
+		Expect(err).To(HaveOccurred())
+		_, _, err = post(fresh, e, endpointapi.PathSearch, searchRequest("c"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.Counts().Requests).To(Equal(int64(2)))
+	})
+
+	It("goes down when a marked request crashes it and comes back on its address", func() {
+		e := startEndpoint(EndpointOptions{})
+		address := e.Address()
+		e.SetFaults(Faults{CrashFor: time.Millisecond})
+		client := newClient()
+		request := searchRequest("a")
+		request.Body = "q " + CrashMarker
+		_, _, err := post(client, e, endpointapi.PathSearch, request)
+		Expect(err).To(HaveOccurred())
+		Eventually(func() error {
+			_, _, err := post(client, e, endpointapi.PathSearch, searchRequest("b"))
+			return err
+		}).Should(Succeed())
+		Expect(e.Address()).To(Equal(address))
+		e.SetFaults(Faults{Lost: true})
+		_, _, err = post(client, e, endpointapi.PathSearch, searchRequest("c"))
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("can send a reply twice", func() {
+		e := startEndpoint(EndpointOptions{})
+		e.SetFaults(Faults{DuplicatePerMille: 1000})
+		conn, err := net.Dial("tcp", e.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		data, err := json.Marshal(endpointapi.Request{ID: "p", Body: "b", BudgetMS: 1000})
+		Expect(err).NotTo(HaveOccurred())
+		request, err := http.NewRequest(http.MethodPost, "http://"+e.Address()+endpointapi.PathSubmit, bytes.NewReader(data))
+		Expect(err).NotTo(HaveOccurred())
+		request.Close = true
+		Expect(request.Write(conn)).To(Succeed())
+		all, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Count(all, []byte("HTTP/1.1 200"))).To(Equal(2))
+		Expect(e.Runs("p")).To(Equal(1))
+	})
+})
+
+type platformCase struct {
+	faults  PlatformFaults
+	status  int
+	valid   bool
+	torn    bool
+	content config.Revision
+}
+
+var _ = Describe("deployment and platform", func() {
+	newDeployment := func() *Deployment {
+		d, err := NewDeployment(DeploymentOptions{
+			Services:    []ServiceShape{{Name: service, Shards: 4, Replicas: 2}, {Name: "orders", NotRepeatable: true}},
+			DataCentres: []string{"Ruwi", "Seeb"},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		return d
+	}
+	get := func(d *Deployment, path string) (int, []byte, error) {
+		response, err := newClient().Get("http://" + d.Platform.Address() + path)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		return response.StatusCode, body, err
+	}
+
+	DescribeTable("serves the manifest in force or fails as told",
+		func(c platformCase) {
+			d := newDeployment()
+			Expect(d.Publish()).To(Succeed())
+			d.Platform.SetFaults(c.faults)
+			status, body, err := get(d, platformapi.PathManifest)
+			Expect(status).To(Equal(c.status))
+			Expect(err != nil).To(Equal(c.torn))
+			m, parseErr := config.ParseManifest(body)
+			Expect(parseErr == nil).To(Equal(c.valid))
+			if c.valid {
+				Expect(m.Revision).To(Equal(c.content))
+			}
+		},
+		Entry("newest", platformCase{status: 200, valid: true, content: 2}),
+		Entry("stale", platformCase{faults: PlatformFaults{StaleRevision: 1}, status: 200, valid: true, content: 1}),
+		Entry("slow", platformCase{faults: PlatformFaults{Slow: time.Millisecond}, status: 200, valid: true, content: 2}),
+		Entry("unavailable", platformCase{faults: PlatformFaults{Unavailable: true}, status: 503}),
+		Entry("flapping", platformCase{faults: PlatformFaults{Flap: true}, status: 503}),
+		Entry("torn", platformCase{faults: PlatformFaults{Torn: true}, status: 200, torn: true}),
+		Entry("oversized", platformCase{faults: PlatformFaults{Oversized: true}, status: 200}),
+	)
+
+	It("wakes a watch when a snapshot is published and drops the old one", func() {
+		d := newDeployment()
+		manifests := make(chan []byte, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body, err := get(d, platformapi.PathWatch+"?after=1&wait_ms=60000")
+			Expect(err).NotTo(HaveOccurred())
+			manifests <- body
+		}()
+		Eventually(func() int64 { return d.Platform.Calls().Watch }).Should(Equal(int64(1)))
+		Expect(d.PublishSnapshot(service, 1)).To(Equal(uint64(2)))
+		var body []byte
+		Eventually(manifests).Should(Receive(&body))
+		m, err := config.ParseManifest(body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Revision).To(Equal(config.Revision(2)))
+		for _, e := range d.Replicas(service, 0) {
+			Expect(e.Held()).To(HaveLen(1))
+			Expect(e.Held()[0].Snapshot).To(Equal(uint64(2)))
+		}
+		for _, ref := range m.Documents {
+			_, document, err := get(d, platformapi.PathDocument+ref.Hash)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(config.CheckDocument(ref, document)).To(Succeed())
+		}
+	})
+
+	It("moves a shard before hosts can know of it", func() {
+		d := newDeployment()
+		old := d.Replicas(service, 0)[0]
+		target := d.Replicas(service, 3)[0]
+		Expect(d.MoveShard(service, 0, []string{target.ID()}, false)).To(Succeed())
+		request := searchRequest("a")
+		request.Snapshot = 1
+		request.Range = keyrange.Split(4)[0]
+		_, reply, err := post(newClient(), old, endpointapi.PathSearch, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Code).To(Equal(result.RangeNotHeld))
+		_, reply, err = post(newClient(), target, endpointapi.PathSearch, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Code).To(BeZero())
+		Expect(d.Revision()).To(Equal(config.Revision(1)))
+	})
+})
