--- /dev/null
+++ b/cmd/gypsumlugd/check.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/gypsumlug/gypsumlug/internal/settings"
+)
+
+type checkCmd struct {
+	Settings string `required:"" type:"existingfile" placeholder:"FILE" help:"Settings in JSON with comments."`
+}
+
+// Run reports every fault of the file.
+func (c *checkCmd) Run() error {
+	if _, err := settings.Load(c.Settings); err != nil {
+		return err
+	}
+	fmt.Printf("%s: valid\n", c.Settings)
+	return nil
+}
--- /dev/null
+++ b/cmd/gypsumlugd/main.go
@@ -0,0 +1,54 @@
+// Command gypsumlugd is the daemon that runs on every entry host.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/gypsumlug/gypsumlug/internal/daemon"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Exit statuses of the daemon.
+const (
+	exitFault = 1
+	exitUsage = 2
+)
+
+type cli struct {
+	Run     runCmd     `cmd:"" default:"withargs" help:"Run the daemon until SIGTERM or SIGINT."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file and exit."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type versionCmd struct{}
+
+// Run implements the command.
+func (versionCmd) Run() error {
+	fmt.Println(daemon.Version)
+	return nil
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("gypsumlugd"), kong.Description("Query tier host daemon."), kong.UsageOnError())
+	context, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fail(result.Errorf(result.Usage, "%v", err), exitUsage)
+	}
+	if err := context.Run(); err != nil {
+		fail(err, exitFault)
+	}
+}
+
+func fail(err error, status int) {
+	var coded *result.Error
+	if errors.As(err, &coded) && coded.Code == result.Usage {
+		status = exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "gypsumlugd:", err)
+	os.Exit(status)
+}
