--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -88,6 +88,8 @@
 	NotFound Code = 326
 	// WrongMediaType: the body is not application/json.
 	WrongMediaType Code = 327
+	// BodyTimeout: the body did not arrive in time.
+	BodyTimeout Code = 328
 	// RelayQueueFull: the relay's queue of the replica is full.
 	RelayQueueFull Code = 330
 	// EndpointShed: the endpoint refused because it is overloaded.
@@ -176,6 +178,8 @@
 	DocumentTooLarge Code = 616
 	// PlatformUnavailable: the platform's configuration service does not answer.
 	PlatformUnavailable Code = 617
+	// DocumentUnavailable: no source has the documents of a manifest.
+	DocumentUnavailable Code = 618
 	// FrameInvalid: a peer frame is torn or cannot be decoded.
 	FrameInvalid Code = 620
 	// FrameTooLarge: a peer frame is over the size limit.
