Add the permit ledger for requests that run at most once

Requests that may not be repeated need one owner that decides about their dispatch without shared state.

Only the incarnation that issued a permit dispatches its request. An entry has one attempt at a time, attempts are numbered so that a late or repeated reply of an earlier one changes nothing, and a permit without an entry never begins. Unknown is the only end that can still be settled, by the reply of the same attempt. A stopping host hands its closed permits to a successor, which answers from an archive that never dispatches.

ClosedPermit gets the nonce, the service and whether it was submitted, since the receiver must refuse guessed permits and other bodies too. The import rule of the decision packages now covers peerwire and lets them use the messages of api.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -17,7 +17,7 @@
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
 	"admission", "config", "configuration", "control", "coordinator", "dispatch", "endpoint",
-	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
+	"keyrange", "peerwire", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
 }
 
 // allowedStandard are the standard packages that a decision package may import.
@@ -32,6 +32,7 @@
 
 // allowedModules are the libraries that a decision package may import.
 var allowedModules = map[string]bool{
+	"github.com/gypsumlug/gypsumlug/api":      true, // Messages only.
 	"github.com/cespare/xxhash/v2":            true,
 	"github.com/dgryski/go-rendezvous":        true,
 	"github.com/rotisserie/eris":              true,
--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -185,11 +185,17 @@
 
 // ClosedPermit is the outcome of an ended permit.
 type ClosedPermit struct {
-	Sequence uint64        `msgpack:"s"`
-	BodyHash uint64        `msgpack:"b"`
-	Code     result.Code   `msgpack:"c"`
-	Outcome  string        `msgpack:"o"`
-	TTL      time.Duration `msgpack:"t"`
+	Sequence uint64 `msgpack:"s"`
+	Nonce    uint64 `msgpack:"n"`
+	Service  string `msgpack:"v"`
+	// Submitted tells that BodyHash was set by a submit.
+	Submitted bool        `msgpack:"u"`
+	BodyHash  uint64      `msgpack:"b"`
+	Code      result.Code `msgpack:"c"`
+	Outcome   string      `msgpack:"o"`
+	// OutcomeDropped tells that the outcome was too large to keep.
+	OutcomeDropped bool          `msgpack:"d"`
+	TTL            time.Duration `msgpack:"t"`
 }
 
 // HandoverAnswer tells how many entries the receiver keeps.
--- /dev/null
+++ b/internal/permit/archive.go
@@ -0,0 +1,134 @@
+package permit
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+const (
+	defaultArchivePermits = 1 << 16
+	defaultArchiveBytes   = 32 << 20
+	defaultArchiveTTL     = time.Hour
+)
+
+// ArchiveConfig bounds an archive. The zero value of a field stands for its
+// default.
+type ArchiveConfig struct {
+	MaxPermits int
+	// MaxBytes bounds the outcomes that are kept, over all permits.
+	MaxBytes int
+	// MaxTTL bounds how long a permit is kept.
+	MaxTTL time.Duration
+}
+
+func (c ArchiveConfig) withDefaults() ArchiveConfig {
+	if c.MaxPermits == 0 {
+		c.MaxPermits = defaultArchivePermits
+	}
+	if c.MaxBytes == 0 {
+		c.MaxBytes = defaultArchiveBytes
+	}
+	if c.MaxTTL == 0 {
+		c.MaxTTL = defaultArchiveTTL
+	}
+	return c
+}
+
+// Archive answers submits of permits that other hosts issued and ended before
+// they stopped. It never yields the verdict Dispatch, so that losing it, or
+// having it on two hosts, breaks no promise.
+type Archive struct {
+	cfg     ArchiveConfig
+	entries map[archiveKey]*entry
+	due     dueHeap
+	bytes   int
+}
+
+type archiveKey struct {
+	issuer   view.Incarnation
+	sequence uint64
+}
+
+// NewArchive returns an empty archive.
+func NewArchive(cfg ArchiveConfig) *Archive {
+	return &Archive{cfg: cfg.withDefaults(), entries: make(map[archiveKey]*entry)}
+}
+
+// Len returns the number of permits held.
+func (a *Archive) Len() int { return len(a.entries) }
+
+// Store keeps the permits of a handover and returns how many it kept. It skips
+// those that have not ended, that it has already, or that exceed its bounds.
+func (a *Archive) Store(now time.Duration, h peerwire.Handover) int {
+	a.Tick(now)
+	kept := 0
+	for _, c := range h.Entries {
+		if a.store(now, archiveKey{issuer: h.Issuer, sequence: c.Sequence}, c) {
+			kept++
+		}
+	}
+	return kept
+}
+
+func (a *Archive) store(now time.Duration, key archiveKey, c peerwire.ClosedPermit) bool {
+	ttl := min(c.TTL, a.cfg.MaxTTL)
+	full := len(a.entries) >= a.cfg.MaxPermits || a.bytes+len(c.Outcome) > a.cfg.MaxBytes
+	if _, known := a.entries[key]; known || full || ttl <= 0 || !endCode(c.Code) {
+		return false
+	}
+	e := &entry{
+		issuer:   key.issuer,
+		sequence: key.sequence,
+		state:    stateOf(c.Code),
+		due:      now + ttl,
+		record: record{
+			nonce:          c.Nonce,
+			service:        c.Service,
+			submitted:      c.Submitted,
+			bodyHash:       c.BodyHash,
+			code:           c.Code,
+			outcome:        c.Outcome,
+			outcomeDropped: c.OutcomeDropped,
+		},
+	}
+	a.entries[key] = e
+	a.bytes += len(c.Outcome)
+	heap.Push(&a.due, e)
+	return true
+}
+
+// endCode reports whether a permit can end with code.
+func endCode(code result.Code) bool {
+	switch code.Class() {
+	case result.ClassComplete, result.ClassNotRun, result.ClassUnknown, result.ClassFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Submit answers a submit if the archive knows its permit.
+func (a *Archive) Submit(now time.Duration, id ID, bodyHash uint64) (Decision, bool) {
+	a.Tick(now)
+	e, ok := a.entries[archiveKey{issuer: id.Issuer, sequence: id.Sequence}]
+	if !ok || e.nonce != id.Nonce || e.service != id.Service {
+		return Decision{}, false
+	}
+	if !e.matches(bodyHash) {
+		return refuse(result.PermitBodyMismatch), true
+	}
+	return replay(&e.record), true
+}
+
+// Tick forgets what was kept for its time to live.
+func (a *Archive) Tick(now time.Duration) {
+	for len(a.due) > 0 && a.due[0].due <= now {
+		e := heap.Pop(&a.due).(*entry)
+		delete(a.entries, archiveKey{issuer: e.issuer, sequence: e.sequence})
+		a.bytes -= len(e.outcome)
+	}
+}
--- /dev/null
+++ b/internal/permit/handover.go
@@ -0,0 +1,121 @@
+package permit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// Stop ends the issuing of permits and burns those that were not submitted.
+// Submitted requests go on to their end.
+func (l *Ledger) Stop(now time.Duration) {
+	l.advance(now)
+	l.stopped = true
+	for _, e := range l.sorted() {
+		if e.state == Issued {
+			l.end(e, result.Stopping, "")
+		}
+	}
+}
+
+// sorted returns the entries in the order of their sequence.
+func (l *Ledger) sorted() []*entry {
+	entries := slices.Clone([]*entry(l.due))
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	return entries
+}
+
+// Closed returns the ended permits in the order of their sequence, for a
+// handover.
+func (l *Ledger) Closed() []peerwire.ClosedPermit {
+	var closed []peerwire.ClosedPermit
+	for _, e := range l.sorted() {
+		if e.state.ended() {
+			closed = append(closed, e.closed(l.now))
+		}
+	}
+	return closed
+}
+
+// Stats counts the permits by state.
+type Stats struct {
+	ByState [StateCount]int
+	// Archived counts the permits of other hosts.
+	Archived int
+}
+
+// Stats returns the number of permits held.
+func (l *Ledger) Stats() Stats {
+	s := Stats{Archived: l.archive.Len()}
+	for _, e := range l.due {
+		s.ByState[e.state]++
+	}
+	return s
+}
+
+// Receive keeps the closed permits of a stopped host and returns how many it
+// kept.
+func (l *Ledger) Receive(now time.Duration, h peerwire.Handover) int {
+	l.advance(now)
+	if h.Issuer == l.self {
+		return 0
+	}
+	return l.archive.Store(now, h)
+}
+
+func (e *entry) closed(now time.Duration) peerwire.ClosedPermit {
+	return peerwire.ClosedPermit{
+		Sequence:       e.sequence,
+		Nonce:          e.nonce,
+		Service:        e.service,
+		Submitted:      e.submitted,
+		BodyHash:       e.bodyHash,
+		Code:           e.code,
+		Outcome:        e.outcome,
+		OutcomeDropped: e.outcomeDropped,
+		TTL:            e.due - now,
+	}
+}
+
+// batchOverheadBytes is more than a closed permit takes in a message without
+// its service and outcome.
+const batchOverheadBytes = 128
+
+// Batches divides closed permits into handovers of at most maxBytes each. A
+// permit that alone is larger gets a handover of its own.
+func Batches(issuer view.Incarnation, closed []peerwire.ClosedPermit, maxBytes int) []peerwire.Handover {
+	var batches []peerwire.Handover
+	size := maxBytes
+	for _, c := range closed {
+		n := batchOverheadBytes + len(c.Service) + len(c.Outcome)
+		if size+n > maxBytes {
+			batches = append(batches, peerwire.Handover{Issuer: issuer})
+			size = 0
+		}
+		last := &batches[len(batches)-1]
+		last.Entries = append(last.Entries, c)
+		size += n
+	}
+	return batches
+}
+
+// Successor returns the address, out of hosts, to which a stopping issuer hands
+// its ledger and which others ask when the issuer is gone. Hosts with different
+// views may disagree about it; the submit is then answered as unknown. It
+// returns the empty string if hosts is empty.
+func Successor(issuer view.Incarnation, hosts []string) string {
+	candidates := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == issuer.Address })
+	if len(candidates) == 0 {
+		return ""
+	}
+	slices.Sort(candidates)
+	return rendezvous.New(candidates, xxhash.Sum64String).Lookup(ID{Issuer: issuer}.String())
+}
--- /dev/null
+++ b/internal/permit/permit_test.go
@@ -0,0 +1,205 @@
+package permit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+func TestPermit(t *testing.T) { testsuite.RunSpecs(t, "permit") }
+
+// repeats is how many sequences of actions follow each other in one world.
+const repeats = 30
+
+// The endpoint runs a permit at most once, "not run" is true for ever, and a
+// repeated submit learns how the first one ended.
+func TestAtMostOnce(t *testing.T) {
+	testsuite.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range repeats {
+			t.Repeat(map[string]func(*rapid.T){
+				"mint": w.mint, "submit": w.submit, "repeat": w.submit, "begin": w.begin, "begin again": w.begin,
+				"give up": w.giveUp, "timeout": w.timeout, "arrive": w.arrive, "reply": w.reply, "late reply": w.reply,
+				"pause": w.pause, "partition": w.partition, "crash": w.crash, "stop": w.stop, "": w.check,
+			})
+		}
+	})
+}
+
+var (
+	issuer   = view.Incarnation{Address: "10.0.0.1:7000", Start: 7}
+	replaced = view.Incarnation{Address: "10.0.0.1:7000", Start: 8}
+	other    = view.Incarnation{Address: "10.0.0.2:7000", Start: 9}
+)
+
+func mintOne(l *Ledger) ID {
+	ids, err := l.Mint(0, testService(), 1, rand.New(rand.NewPCG(3, 4)))
+	Expect(err).NotTo(HaveOccurred())
+	return ids[0]
+}
+
+// begun submits and begins a permit with body 1.
+func begun(l *Ledger, id ID) uint32 {
+	Expect(l.Submit(0, id, 1)).To(Equal(Decision{Verdict: Dispatch}))
+	attempt, err := l.Begin(0, id)
+	Expect(err).To(BeNil())
+	return attempt
+}
+
+var _ = ginkgo.DescribeTable("a submit after a fault",
+	func(before func(l *Ledger, id ID) ID, verdict Verdict, code result.Code) {
+		l := New(issuer, Config{MaxOutcomeBytes: 4})
+		id := before(l, mintOne(l))
+		d := l.Submit(l.now, id, 1)
+		Expect(d.Verdict).To(Equal(verdict))
+		Expect(d.Code).To(Equal(code))
+	},
+	ginkgo.Entry("none", func(_ *Ledger, id ID) ID { return id }, Dispatch, result.Code(0)),
+	ginkgo.Entry("guessed nonce", func(_ *Ledger, id ID) ID { id.Nonce++; return id }, Refuse, result.PermitNeverIssued),
+	ginkgo.Entry("another service", func(_ *Ledger, id ID) ID { id.Service = "x"; return id }, Refuse, result.PermitNeverIssued),
+	ginkgo.Entry("a sequence not yet issued", func(_ *Ledger, id ID) ID { id.Sequence++; return id }, Refuse, result.PermitNeverIssued),
+	ginkgo.Entry("sequence zero", func(_ *Ledger, id ID) ID { id.Sequence = 0; return id }, Refuse, result.PermitNeverIssued),
+	ginkgo.Entry("the issuer was replaced", func(_ *Ledger, id ID) ID { id.Issuer = replaced; return id }, Refuse, result.IssuerReplaced),
+	ginkgo.Entry("another issuer", func(_ *Ledger, id ID) ID { id.Issuer = other; return id }, Foreign, result.Code(0)),
+	ginkgo.Entry("the lifetime passed", func(l *Ledger, id ID) ID { l.Tick(testLifetime); return id }, Replay, result.PermitExpired),
+	ginkgo.Entry("the retention passed too", func(l *Ledger, id ID) ID {
+		l.Tick(testLifetime)
+		l.Tick(testLifetime + testRetention)
+		return id
+	}, Refuse, result.OutcomeForgotten),
+	ginkgo.Entry("the clock seems to go back", func(l *Ledger, id ID) ID { l.Tick(testLifetime); l.Tick(0); return id }, Replay, result.PermitExpired),
+	ginkgo.Entry("a different body came first", func(l *Ledger, id ID) ID { l.Submit(0, id, 2); return id }, Refuse, result.PermitBodyMismatch),
+	ginkgo.Entry("it waits for its dispatch", func(l *Ledger, id ID) ID { l.Submit(0, id, 1); return id }, Running, result.StillRunning),
+	ginkgo.Entry("it is running", func(l *Ledger, id ID) ID { begun(l, id); return id }, Running, result.StillRunning),
+	ginkgo.Entry("it never ended", func(l *Ledger, id ID) ID { begun(l, id); l.Tick(defaultMaxRun); return id }, Replay, result.OutcomeUnknown),
+	ginkgo.Entry("the host stopped", func(l *Ledger, id ID) ID { l.Stop(0); return id }, Replay, result.PermitBurnt),
+	ginkgo.Entry("it failed", func(l *Ledger, id ID) ID { l.End(0, id, begun(l, id), result.EndpointFailed, ""); return id }, Replay, result.EndpointFailed),
+	ginkgo.Entry("it ended as not run although it was begun", func(l *Ledger, id ID) ID {
+		l.End(0, id, begun(l, id), result.EndpointShed, "")
+		return id
+	}, Replay, result.OutcomeUnknown),
+	ginkgo.Entry("it woke up after its lifetime, before it began", func(l *Ledger, id ID) ID {
+		l.Submit(0, id, 1)
+		_, err := l.Begin(testLifetime, id)
+		Expect(err.Code).To(Equal(result.PermitExpired))
+		return id
+	}, Replay, result.PermitExpired),
+	ginkgo.Entry("a late reply settled what was unknown", func(l *Ledger, id ID) ID {
+		attempt := begun(l, id)
+		l.End(0, id, attempt, result.OutcomeUnknown, "")
+		Expect(l.End(0, id, attempt, result.Done, "ok")).To(BeTrue())
+		Expect(l.Refused(0, id, attempt, result.EndpointShed)).To(BeFalse())
+		return id
+	}, Replay, result.Replayed),
+	ginkgo.Entry("a late refusal of an earlier attempt", func(l *Ledger, id ID) ID {
+		first := begun(l, id)
+		Expect(l.Refused(0, id, first, result.EndpointShed)).To(BeTrue())
+		_, err := l.Begin(0, id)
+		Expect(err).To(BeNil())
+		Expect(l.Refused(0, id, first, result.EndpointShed)).To(BeFalse())
+		_, err = l.Begin(0, id)
+		Expect(err.Code).To(Equal(result.StillRunning))
+		Expect(l.Burn(0, id, result.AllRefused)).To(BeFalse())
+		return id
+	}, Running, result.StillRunning),
+)
+
+var _ = ginkgo.Describe("the ledger", func() {
+	ginkgo.It("refuses permits above the limit of the service", func() {
+		l := New(issuer, Config{})
+		rng := rand.New(rand.NewPCG(3, 4))
+		_, err := l.Mint(0, testService(), testLimit, rng)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = l.Mint(0, testService(), 1, rng)
+		Expect(err).To(MatchError(ContainSubstring("319")))
+		_, err = l.Mint(testLifetime, testService(), 1, rng)
+		Expect(err).To(HaveOccurred(), "burnt permits are kept for the retention")
+		_, err = l.Mint(testLifetime+testRetention, testService(), testLimit, rng)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	ginkgo.It("says when an outcome was too large to keep", func() {
+		l := New(issuer, Config{MaxOutcomeBytes: 4})
+		id := mintOne(l)
+		l.End(0, id, begun(l, id), result.Done, "12345")
+		d := l.Submit(0, id, 1)
+		Expect(d).To(Equal(Decision{Verdict: Replay, Code: result.Replayed, Recorded: result.Done, OutcomeDropped: true}))
+	})
+
+	ginkgo.It("answers from a handover for its time to live and never dispatches", func() {
+		l := New(issuer, Config{})
+		done, open := mintOne(l), mintOne(l)
+		l.End(0, done, begun(l, done), result.Done, "ok")
+		l.Submit(0, open, 1)
+		l.Stop(0)
+		receiver := New(replaced, Config{})
+		batches := Batches(issuer, l.Closed(), 1)
+		Expect(batches).To(HaveLen(1))
+		Expect(receiver.Receive(time.Hour, batches[0])).To(Equal(1))
+		Expect(receiver.Receive(time.Hour, batches[0])).To(Equal(0))
+
+		Expect(receiver.Submit(time.Hour, done, 1).Outcome).To(Equal("ok"))
+		Expect(receiver.Submit(time.Hour, done, 2).Code).To(Equal(result.PermitBodyMismatch))
+		Expect(receiver.Submit(time.Hour, open, 1).Code).To(Equal(result.IssuerReplaced))
+		Expect(receiver.Submit(time.Hour+testRetention, done, 1).Code).To(Equal(result.IssuerReplaced))
+		own := peerwire.Handover{Issuer: replaced, Entries: []peerwire.ClosedPermit{{Sequence: 1, Code: result.Done, TTL: time.Hour}}}
+		Expect(receiver.Receive(time.Hour, own)).To(Equal(0))
+	})
+
+	ginkgo.It("names one successor whatever the order of the hosts, and never the issuer", func() {
+		hosts := []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
+		first := Successor(issuer, hosts)
+		Expect(first).To(BeElementOf(hosts[1:]))
+		Expect(Successor(issuer, []string{hosts[2], hosts[1], hosts[0]})).To(Equal(first))
+		Expect(Successor(issuer, hosts[:1])).To(BeEmpty())
+	})
+})
+
+var _ = ginkgo.DescribeTable("Parse refuses", func(s string) {
+	_, err := Parse(s)
+	Expect(err).To(MatchError(ContainSubstring("314")))
+},
+	ginkgo.Entry("nothing", ""),
+	ginkgo.Entry("another format", "2~10.0.0.1:7000~7~1~a~orders"),
+	ginkgo.Entry("a missing part", "1~10.0.0.1:7000~7~1~a"),
+	ginkgo.Entry("a host name", "1~example:7000~7~1~a~orders"),
+	ginkgo.Entry("a sign", "1~10.0.0.1:7000~7~+1~a~orders"),
+	ginkgo.Entry("a leading zero", "1~10.0.0.1:7000~07~1~a~orders"),
+	ginkgo.Entry("upper case", "1~10.0.0.1:7000~7~1~A~orders"),
+)
+
+// BenchmarkLedger runs a permit from issue to replay in a ledger that holds a
+// steady number of others.
+func BenchmarkLedger(b *testing.B) {
+	const held = 10_000
+	service := testService()
+	service.Permit.Limit = 2 * held
+	l := New(issuer, Config{})
+	rng := rand.New(rand.NewPCG(3, 4))
+	step := testRetention / held
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += step
+		ids, err := l.Mint(now, service, 1, rng)
+		if err != nil {
+			b.Fatal(err)
+		}
+		l.Submit(now, ids[0], 1)
+		attempt, _ := l.Begin(now, ids[0])
+		l.End(now, ids[0], attempt, result.Done, "ok")
+		if l.Submit(now, ids[0], 1).Code != result.Replayed {
+			b.Fatal("not replayed")
+		}
+	}
+	b.ReportMetric(float64(len(l.entries)), "held")
+}
--- /dev/null
+++ b/internal/permit/transition.go
@@ -0,0 +1,107 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Begin starts an attempt of a submitted permit and returns its number. It must
+// be called before the first byte is written. On an error nothing may be
+// written: its code is PermitExpired if the lifetime has passed, which burns
+// the permit, StillRunning if an attempt is running, and otherwise the code
+// that answers a submit.
+func (l *Ledger) Begin(now time.Duration, id ID) (uint32, *result.Error) {
+	l.advance(now)
+	e, code := l.find(id)
+	switch {
+	case e == nil:
+		return 0, result.Errorf(code, "permit %s cannot begin", id)
+	case e.state.ended():
+		return 0, result.Errorf(replayCode(e.code), "permit %s has ended", id)
+	case e.state == Dispatched:
+		return 0, result.Errorf(result.StillRunning, "permit %s is running", id)
+	case e.state == Issued:
+		return 0, result.Errorf(result.PermitNeverIssued, "permit %s has not been submitted", id)
+	}
+	e.state = Dispatched
+	e.attempt++
+	l.due.schedule(e, l.now+l.cfg.MaxRun)
+	return e.attempt, nil
+}
+
+// Refused records the proof that an attempt was refused before it started, for
+// the reason code. A running permit may then begin again; an unknown one is
+// settled as not run. It reports false, and changes nothing, if the attempt is
+// not the last one or was settled before.
+func (l *Ledger) Refused(now time.Duration, id ID, attempt uint32, code result.Code) bool {
+	l.advance(now)
+	e, _ := l.find(id)
+	if e == nil || e.attempt != attempt {
+		return false
+	}
+	switch e.state {
+	case Dispatched:
+		e.state = Submitted
+		l.due.schedule(e, e.expires)
+		return true
+	case Unknown:
+		l.end(e, notRunCode(code), "")
+		return true
+	default:
+		return false
+	}
+}
+
+// End records how an attempt ended: done for a code of class complete, failed
+// or unknown. An unknown permit may be settled later by the outcome of the
+// same attempt. It reports false, and changes nothing, for any other attempt.
+func (l *Ledger) End(now time.Duration, id ID, attempt uint32, code result.Code, outcome string) bool {
+	l.advance(now)
+	e, _ := l.find(id)
+	if e == nil || e.attempt != attempt {
+		return false
+	}
+	settles := e.state == Unknown && stateOf(code) != Unknown
+	if e.state != Dispatched && !settles {
+		return false
+	}
+	if stateOf(code) == NotRun {
+		code = result.OutcomeUnknown
+	}
+	l.end(e, code, outcome)
+	return true
+}
+
+// Burn ends a submitted permit of which no attempt is running as not run, for
+// the reason code. It reports whether it did: if not, the submit must not be
+// answered as not run.
+func (l *Ledger) Burn(now time.Duration, id ID, code result.Code) bool {
+	l.advance(now)
+	e, _ := l.find(id)
+	if e == nil || e.state != Submitted {
+		return false
+	}
+	l.end(e, notRunCode(code), "")
+	return true
+}
+
+// notRunCode returns code if its class is not-run and a code of that class if
+// not, so that a proof of not running is never recorded as something else.
+func notRunCode(code result.Code) result.Code {
+	if code.Class() == result.ClassNotRun {
+		return code
+	}
+	return result.PermitBurnt
+}
+
+// end moves an entry to its end and keeps it for the retention.
+func (l *Ledger) end(e *entry, code result.Code, outcome string) {
+	e.state = stateOf(code)
+	e.code = code
+	e.outcomeDropped = len(outcome) > l.cfg.MaxOutcomeBytes
+	if !e.outcomeDropped {
+		e.outcome = outcome
+	}
+	l.due.schedule(e, l.now+e.retention)
+}
