Add the quarantine of requests that crash endpoints

A single request that crashes each endpoint that runs it, sent again and again, would take every replica down.

Each request in flight at a crash becomes a suspect that runs alone. A suspect that crashes a second, different endpoint alone is quarantined; one that runs to its end is cleared.

SuspectHint gets Proven and Cleared, since two endpoints may also be implicated by crashes in company, and a recovery should spread too.

--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -123,12 +123,16 @@
 	TTL      time.Duration `msgpack:"t"`
 }
 
-// SuspectHint tells of a request that crashed endpoints.
+// SuspectHint tells of a request that was in flight when endpoints crashed.
 type SuspectHint struct {
 	Fingerprint view.Fingerprint `msgpack:"f"`
-	// Endpoints are those that the request crashed, at most two.
-	Endpoints []string      `msgpack:"e"`
-	TTL       time.Duration `msgpack:"t"`
+	// Endpoints are those that crashed while they ran the request, at most two.
+	Endpoints []string `msgpack:"e"`
+	// Proven tells that the request crashed a second endpoint while it ran alone.
+	Proven bool `msgpack:"p"`
+	// Cleared tells that the request ran to its end after the crash.
+	Cleared bool          `msgpack:"c"`
+	TTL     time.Duration `msgpack:"t"`
 }
 
 // ManifestRequest asks for the manifest in force at the peer.
--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,30 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// Fingerprint identifies a request by service and normalized content: letters
+// are folded to lower case, each run of white space counts as one space, and
+// white space at either end is dropped. A caller that sends a request again with
+// other spacing or capitals sends the same request.
+//
+// The hash is not cryptographic. A request made to collide with another can
+// bring that one under suspicion only after it crashed an endpoint itself.
+func Fingerprint(service, body string) view.Fingerprint {
+	h := xxhash.New()
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(service)))
+	_, _ = h.Write(length[:])
+	_, _ = h.WriteString(service)
+	for word := range strings.FieldsSeq(strings.ToLower(body)) {
+		_, _ = h.WriteString(" ")
+		_, _ = h.WriteString(word)
+	}
+	return view.Fingerprint(h.Sum64())
+}
