--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -37,13 +37,17 @@
 	RedialDelay time.Duration
 	// WriteTimeout bounds one write to a connection.
 	WriteTimeout time.Duration
-	// PingInterval is how often the client probes a connection on which nothing
-	// arrives.
+	// PingInterval is how often the client pings a connection on which something
+	// was written since the last frame arrived. An idle connection is pinged
+	// once in idlePingTicks intervals.
 	PingInterval time.Duration
 	// SilenceTimeout is how long nothing may arrive on a probed connection until
 	// the client replaces it. The server closes a connection that is silent
 	// for serverSilenceFactor times as long.
 	SilenceTimeout time.Duration
+	// ProbeTimeout is how long a connection may take to prove that it is alive
+	// before a message that asks for it.
+	ProbeTimeout time.Duration
 	// IdleTimeout is how long the client keeps an unused connection.
 	IdleTimeout time.Duration
 	// QueueLength bounds the messages that wait for one peer.
@@ -59,11 +63,13 @@
 	defaultWriteTimeout   = time.Second
 	defaultPingInterval   = 500 * time.Millisecond
 	defaultSilenceTimeout = 2 * time.Second
+	defaultProbeTimeout   = 500 * time.Millisecond
 	defaultIdleTimeout    = time.Minute
 	defaultQueueLength    = 1024
 	defaultCallLimit      = 256
 
-	serverSilenceFactor = 3
+	serverSilenceFactor = 5
+	idlePingTicks       = 10
 )
 
 func (c Config) withDefaults() Config {
@@ -72,6 +78,7 @@
 	setDefault(&c.WriteTimeout, defaultWriteTimeout)
 	setDefault(&c.PingInterval, defaultPingInterval)
 	setDefault(&c.SilenceTimeout, defaultSilenceTimeout)
+	setDefault(&c.ProbeTimeout, defaultProbeTimeout)
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
 	setDefault(&c.QueueLength, defaultQueueLength)
 	setDefault(&c.CallLimit, defaultCallLimit)
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -27,6 +27,10 @@
 	reads       atomic.Uint64
 	seenReads   uint64
 	silentTicks int
+	// unproved tells that a ping has not been followed by any frame.
+	unproved bool
+	// idleTicks counts the ticks since something was written.
+	idleTicks int
 	// used tells that a message was handed to the socket.
 	used bool
 	// lastUse is when the last message was written.
@@ -85,7 +89,6 @@
 func (c *connection) finish(reason breakReason) {
 	for _, o := range c.link.pending.takeAll() {
 		err := unknown("the connection to %s ended (%s) before the answer to %s", c.link.peer, reason, o.kind)
-		c.link.client.counters.refused(err)
 		o.fail(err)
 	}
 	if c.used && reason.lossy() {
@@ -150,7 +153,6 @@
 	if o.expired() {
 		c.link.pending.take(o.id)
 		err := result.Errorf(result.ExpiredBeforeSend, "%s waited longer than %s for %s", o.kind, o.within, c.link.peer)
-		c.link.client.counters.refused(err)
 		o.fail(err)
 		return
 	}
@@ -167,6 +169,7 @@
 		return true
 	}
 	c.lastUse = time.Now()
+	c.idleTicks = 0
 	n, err := c.writeBytes(c.buffer)
 	c.used = c.used || n > 0
 	start := 0
@@ -197,6 +200,5 @@
 	if n > start {
 		failure = unknown("%s was written to %s in part: %v", o.kind, c.link.peer, err)
 	}
-	c.link.client.counters.refused(failure)
 	o.fail(failure)
 }
--- a/internal/peer/fake_test.go
+++ b/internal/peer/fake_test.go
@@ -79,6 +79,7 @@
 		RedialDelay:    time.Millisecond,
 		PingInterval:   20 * time.Millisecond,
 		SilenceTimeout: 400 * time.Millisecond,
+		ProbeTimeout:   time.Second,
 	}
 }
 
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -11,7 +11,7 @@
 	h := c.server.handler
 	switch frame.Kind {
 	case peerwire.KindPing:
-		c.write(peerwire.KindPong, 0, nil)
+		c.write(peerwire.KindPong, frame.ID, nil)
 		return nil
 	case peerwire.KindHeartbeat:
 		return oneWay(c, frame, h.Heartbeat)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -77,7 +77,6 @@
 // refuse ends a message of which nothing was written.
 func (l *link) refuse(o *outgoing, err *result.Error) {
 	if o.claim() {
-		l.client.counters.refused(err)
 		o.fail(err)
 	}
 }
--- a/internal/peer/outgoing.go
+++ b/internal/peer/outgoing.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -48,21 +49,29 @@
 	return o.within > 0 && time.Since(o.queuedAt) > o.within
 }
 
+// abandon ends the wait for a message. It is not run only if the writer had not
+// claimed it.
+func (o *outgoing) abandon(ctx context.Context) error {
+	if o.withdraw() {
+		return result.Errorf(result.ExpiredBeforeSend, "%s was not written before its deadline: %v", o.kind, ctx.Err())
+	}
+	o.link.pending.take(o.id)
+	return unknown("no outcome of %s before its deadline: %v", o.kind, ctx.Err())
+}
+
 // fail ends the message with an error.
 func (o *outgoing) fail(err *result.Error) {
 	if o.answer != nil {
 		o.answer <- answer{err: err}
 		return
 	}
-	if o.done != nil {
-		o.done(err)
-	}
+	o.done(err)
 }
 
 // written tells that every byte was handed to the socket. A request goes on
 // waiting for its answer.
 func (o *outgoing) written() {
-	if o.answer == nil && o.done != nil {
+	if o.answer == nil {
 		o.done(nil)
 	}
 }
--- a/internal/peer/probe.go
+++ b/internal/peer/probe.go
@@ -24,7 +24,6 @@
 		c.reads.Add(1)
 		counters.received[frame.Kind].Inc()
 		switch frame.Kind {
-		case peerwire.KindPong:
 		case peerwire.KindGoodbye:
 			if goodbye != nil {
 				close(goodbye)
@@ -38,14 +37,15 @@
 	}
 }
 
-// probe pings a connection on which nothing arrived since the last tick. It
-// returns a reason to close the connection, or none.
+// probe pings a connection that has to prove that it is alive. It returns a
+// reason to close the connection, or none.
 func (c *connection) probe() breakReason {
 	config := c.link.client.config
 	if reads := c.reads.Load(); reads != c.seenReads {
 		c.seenReads = reads
 		c.silentTicks = 0
-	} else {
+		c.unproved = false
+	} else if c.unproved {
 		c.silentTicks++
 	}
 	if time.Duration(c.silentTicks)*config.PingInterval >= config.SilenceTimeout {
@@ -54,12 +54,23 @@
 	if time.Since(c.lastUse) >= config.IdleTimeout && c.link.pending.empty() {
 		return breakIdle
 	}
+	c.idleTicks++
+	due := c.unproved || c.idleTicks == 1 || c.idleTicks%idlePingTicks == 0 || !c.link.pending.empty()
+	if due && !c.ping() {
+		return breakWrite
+	}
+	return ""
+}
+
+// ping asks for a sign of life.
+func (c *connection) ping() bool {
+	c.unproved = true
 	ping, _ := AppendFrame(nil, c.version, peerwire.KindPing, 0, nil)
 	if _, err := c.writeBytes(ping); err != nil {
-		return breakWrite
+		return false
 	}
 	c.link.client.counters.sent[peerwire.KindPing].Inc()
-	return ""
+	return true
 }
 
 // flush writes what is queued.
