--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -31,7 +31,7 @@
 	q.dispatched++
 	s.waiting = false
 	s.open = append(s.open, attempt{number: q.nextAttempt, endpoint: endpoint, alone: q.suspect})
-	s.hedgeAt = now + q.p.Replicas.HedgeDelay(q.p.Service)
+	s.hedgeAt = q.nextHedge(now, s)
 	q.byAttempt[q.nextAttempt] = i
 	q.out.Dispatch = append(q.out.Dispatch, dispatch.Request{
 		Key:       dispatch.Key{Request: q.p.ID, Attempt: q.nextAttempt},
@@ -48,6 +48,14 @@
 	})
 }
 
+// nextHedge returns when the shard's next hedge is due, or zero.
+func (q *Query) nextHedge(now time.Duration, s *shard) time.Duration {
+	if s.hedges >= q.p.Service.Hedge.Max {
+		return 0
+	}
+	return now + q.p.Replicas.HedgeDelay(q.p.Service)
+}
+
 // attemptFailed decides what follows an attempt without a good reply.
 func (q *Query) attemptFailed(now time.Duration, i int, a attempt, r *dispatch.Reply) {
 	s := &q.shards[i]
@@ -165,7 +173,7 @@
 func (q *Query) hedgeDue(now time.Duration, i int) {
 	s := &q.shards[i]
 	due := s.hedgeAt > 0 && now >= s.hedgeAt && len(s.open) > 0
-	if s.state != shardPending || !due || q.suspect || s.hedges >= q.p.Service.Hedge.Max {
+	if s.state != shardPending || !due || q.suspect {
 		return
 	}
 	s.hedgeAt = 0
@@ -182,11 +190,15 @@
 	q.send(now, i, endpoint)
 }
 
-// pickHedge prefers a replica without an open attempt. When each has one, the
-// hedge goes to any of them on another connection: a single slow attempt says
-// little about the endpoint.
+// pickHedge prefers a replica that was not tried, then one without an open
+// attempt. When each has one, the hedge goes to any of them on another
+// connection: a single slow attempt says little about the endpoint.
 func (q *Query) pickHedge(now time.Duration, s *shard) (string, bool) {
-	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(s.gone, s.busy())); ok {
+	busy := slices.Concat(s.gone, s.busy())
+	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(busy, s.tried)); ok {
+		return endpoint, true
+	}
+	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, busy); ok {
 		return endpoint, true
 	}
 	if len(s.open) < 2 {
