--- a/internal/peerwire/peerwire.go
+++ b/internal/peerwire/peerwire.go
@@ -37,8 +37,58 @@
 	KindSubmitAnswer    Kind = 10
 	KindHandover        Kind = 11
 	KindHandoverAnswer  Kind = 12
+	KindHello           Kind = 13
+	KindPing            Kind = 14
+	KindPong            Kind = 15
+	KindGoodbye         Kind = 16
+	KindRefusal         Kind = 17
 )
 
+var kindNames = map[Kind]string{
+	KindHeartbeat:       "heartbeat",
+	KindManifestRequest: "manifest-request",
+	KindManifest:        "manifest",
+	KindDocumentRequest: "document-request",
+	KindDocument:        "document",
+	KindDispatch:        "dispatch",
+	KindReplies:         "replies",
+	KindCancel:          "cancel",
+	KindSubmit:          "submit",
+	KindSubmitAnswer:    "submit-answer",
+	KindHandover:        "handover",
+	KindHandoverAnswer:  "handover-answer",
+	KindHello:           "hello",
+	KindPing:            "ping",
+	KindPong:            "pong",
+	KindGoodbye:         "goodbye",
+	KindRefusal:         "refusal",
+}
+
+// Valid reports whether this version knows k.
+func (k Kind) Valid() bool { return kindNames[k] != "" }
+
+// String returns the name of k, which metrics use as a label.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// Hello is the first frame in each direction of a connection. It is framed in
+// Version-1, since the other side may be one version older; the frames that
+// follow are framed in the lower Version of the two.
+type Hello struct {
+	// From is the sender's peer address, to which replies are sent.
+	From    string `msgpack:"f"`
+	Version uint8  `msgpack:"v"`
+}
+
+// Refusal answers a request frame that was not handled.
+type Refusal struct {
+	Code result.Code `msgpack:"c"`
+}
+
 // Heartbeat spreads a host's state and hints about others.
 type Heartbeat struct {
 	From       view.Incarnation `msgpack:"f"`
@@ -73,12 +123,16 @@
 	TTL      time.Duration `msgpack:"t"`
 }
 
-// SuspectHint tells of a request that crashed endpoints.
+// SuspectHint tells of a request that was in flight when endpoints crashed.
 type SuspectHint struct {
 	Fingerprint view.Fingerprint `msgpack:"f"`
-	// Endpoints are those that the request crashed, at most two.
-	Endpoints []string      `msgpack:"e"`
-	TTL       time.Duration `msgpack:"t"`
+	// Endpoints are those that crashed while they ran the request, at most two.
+	Endpoints []string `msgpack:"e"`
+	// Proven tells that the request crashed a second endpoint while it ran alone.
+	Proven bool `msgpack:"p"`
+	// Cleared tells that the request ran to its end after the crash.
+	Cleared bool          `msgpack:"c"`
+	TTL     time.Duration `msgpack:"t"`
 }
 
 // ManifestRequest asks for the manifest in force at the peer.
@@ -135,11 +189,17 @@
 
 // ClosedPermit is the outcome of an ended permit.
 type ClosedPermit struct {
-	Sequence uint64        `msgpack:"s"`
-	BodyHash uint64        `msgpack:"b"`
-	Code     result.Code   `msgpack:"c"`
-	Outcome  string        `msgpack:"o"`
-	TTL      time.Duration `msgpack:"t"`
+	Sequence uint64 `msgpack:"s"`
+	Nonce    uint64 `msgpack:"n"`
+	Service  string `msgpack:"v"`
+	// Submitted tells that BodyHash was set by a submit.
+	Submitted bool        `msgpack:"u"`
+	BodyHash  uint64      `msgpack:"b"`
+	Code      result.Code `msgpack:"c"`
+	Outcome   string      `msgpack:"o"`
+	// OutcomeDropped tells that the outcome was too large to keep.
+	OutcomeDropped bool          `msgpack:"d"`
+	TTL            time.Duration `msgpack:"t"`
 }
 
 // HandoverAnswer tells how many entries the receiver keeps.
