Move deadline order and the class floor to package edf

Cause: relays order their queues by the same rules as admission. Change: edf.Queue and edf.Floor, taken out of admission without a change of behaviour; the import test lists edf as a decision package.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -9,8 +9,8 @@
 //   - In-flight and queue limits are never exceeded by an admission.
 //   - Nothing waits while its service and the host have capacity.
 //   - Within an urgency class the earliest deadline goes first. While a class
-//     has requests that could run, at least one in floorInterval + UrgencyCount
-//     admissions from the queue is its own.
+//     has requests that could run, at least one in edf.FloorInterval +
+//     UrgencyCount admissions from the queue is its own.
 //
 // Queue is not safe for concurrent use. Times are monotonic since process start.
 package admission
@@ -21,10 +21,6 @@
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
-// floorInterval is the number of admissions from the queue of which one goes to
-// a class that was passed over in all others.
-const floorInterval = 10
-
 // Limits bound the requests of all services of one host.
 type Limits struct {
 	// InFlight bounds the admitted requests; zero means no bound.
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/edf"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
@@ -11,11 +12,12 @@
 func (q *Queue) admit(now time.Duration, c *Changes) {
 	q.expire(now, c)
 	for q.hasCapacity() {
-		heads, any := q.heads()
-		if !any {
+		heads, ready := q.heads()
+		class, ok := q.floor.Choose(ready)
+		if !ok {
 			return
 		}
-		e := heads[q.class(&heads)]
+		e := heads[class]
 		q.dequeue(e)
 		q.start(now, e)
 		c.Admitted = append(c.Admitted, e.id)
@@ -25,9 +27,8 @@
 func (q *Queue) expire(now time.Duration, c *Changes) {
 	for class := range q.waiting {
 		for i := 0; i < len(q.waiting[class]); {
-			s := q.waiting[class][i]
-			e := s.queue[0]
-			if e.deadline > now {
+			e := q.waiting[class][i].queue.First()
+			if e.Deadline > now {
 				i++
 				continue
 			}
@@ -38,40 +39,18 @@
 	}
 }
 
-// heads returns for each class the request that goes next, or nil if none can.
-func (q *Queue) heads() (heads [config.UrgencyCount]*entry, any bool) {
+// heads returns for each class the request that goes next.
+func (q *Queue) heads() (heads [config.UrgencyCount]*entry, ready edf.Ready) {
 	for class, services := range q.waiting {
 		for _, s := range services {
 			if !s.hasCapacity() {
 				continue
 			}
-			if heads[class] == nil || s.queue[0].before(heads[class]) {
-				heads[class] = s.queue[0]
-				any = true
+			if e := s.queue.First(); !ready[class] || e.Before(&heads[class].Item) {
+				heads[class] = e
+				ready[class] = true
 			}
 		}
 	}
-	return heads, any
-}
-
-// class chooses the class of the next admission: the one that was passed over
-// too often, or else the most urgent one. It counts whom it passes over.
-func (q *Queue) class(heads *[config.UrgencyCount]*entry) int {
-	chosen := -1
-	for class, e := range heads {
-		if e == nil {
-			q.passed[class] = 0
-			continue
-		}
-		if chosen < 0 || (q.passed[class] >= floorInterval-1 && q.passed[class] > q.passed[chosen]) {
-			chosen = class
-		}
-	}
-	for class, e := range heads {
-		if e != nil {
-			q.passed[class]++
-		}
-	}
-	q.passed[chosen] = 0
-	return chosen
+	return heads, ready
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/edf"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
@@ -17,9 +18,8 @@
 	entries  map[string]*entry
 	services map[string]*service
 	// waiting holds, for each class, the services with a queue.
-	waiting [config.UrgencyCount][]*service
-	// passed counts for each class the admissions that passed it over.
-	passed   [config.UrgencyCount]int
+	waiting  [config.UrgencyCount][]*service
+	floor    edf.Floor
 	queued   int
 	inFlight int
 	sequence uint64
@@ -61,8 +61,8 @@
 }
 
 func (q *Queue) refuseAll(s *service, code result.Code, c *Changes) {
-	for len(s.queue) > 0 {
-		e := s.queue[0]
+	for s.queue.Len() > 0 {
+		e := s.queue.First()
 		q.dequeue(e)
 		q.end(e)
 		c.refuse(e.id, code)
@@ -73,7 +73,7 @@
 func (q *Queue) rebuildWaiting() {
 	q.waiting = [config.UrgencyCount][]*service{}
 	for _, name := range slices.Sorted(maps.Keys(q.services)) {
-		if s := q.services[name]; len(s.queue) > 0 {
+		if s := q.services[name]; s.queue.Len() > 0 {
 			q.waiting[s.config.Urgency] = append(q.waiting[s.config.Urgency], s)
 		}
 	}
@@ -91,7 +91,10 @@
 	if code != 0 {
 		return Decision{Verdict: Refuse, Code: code}
 	}
-	e := &entry{id: r.ID, service: s, caller: c, deadline: now + r.Budget, sequence: q.sequence}
+	e := &entry{
+		Item: edf.Item{Deadline: now + r.Budget, Sequence: q.sequence},
+		id:   r.ID, service: s, caller: c,
+	}
 	free := s.hasCapacity() && q.hasCapacity()
 	if !free {
 		if code = q.checkQueue(now, e); code != 0 {
@@ -135,10 +138,10 @@
 
 // checkQueue returns the reason to refuse a request that would have to wait.
 func (q *Queue) checkQueue(now time.Duration, e *entry) result.Code {
-	if len(e.service.queue) >= e.service.config.QueueLimit || (q.limits.Queue > 0 && q.queued >= q.limits.Queue) {
+	if e.service.queue.Len() >= e.service.config.QueueLimit || (q.limits.Queue > 0 && q.queued >= q.limits.Queue) {
 		return result.QueueFull
 	}
-	if now+q.expectedWait(e) >= e.deadline {
+	if now+q.expectedWait(e) >= e.Deadline {
 		return result.DeadlineTooShort
 	}
 	return 0
@@ -149,7 +152,7 @@
 // is in flight ends and a request with free capacity is always admitted.
 func (q *Queue) expectedWait(e *entry) time.Duration {
 	s := e.service
-	wait := float64(s.queue.ahead(e)+1) * s.hold / float64(s.config.InFlightLimit)
+	wait := float64(s.queue.Ahead(&e.Item)+1) * s.hold / float64(s.config.InFlightLimit)
 	if q.limits.InFlight > 0 {
 		wait = max(wait, float64(q.ahead(e)+1)*q.hold/float64(q.limits.InFlight))
 	}
@@ -163,9 +166,9 @@
 	for c := range class + 1 {
 		for _, s := range q.waiting[c] {
 			if c < class {
-				n += len(s.queue)
+				n += s.queue.Len()
 			} else {
-				n += s.queue.ahead(e)
+				n += s.queue.Ahead(&e.Item)
 			}
 		}
 	}
@@ -177,7 +180,7 @@
 }
 
 func (q *Queue) start(now time.Duration, e *entry) {
-	e.index = admitted
+	e.admitted = true
 	e.admittedAt = now
 	e.service.inFlight++
 	q.inFlight++
@@ -185,19 +188,19 @@
 
 func (q *Queue) enqueue(e *entry) {
 	s := e.service
-	if len(s.queue) == 0 {
+	if s.queue.Len() == 0 {
 		class := s.config.Urgency
 		q.waiting[class] = append(q.waiting[class], s)
 	}
-	s.push(e)
+	s.queue.Push(e)
 	q.queued++
 }
 
 func (q *Queue) dequeue(e *entry) {
 	s := e.service
-	s.remove(e)
+	s.queue.Remove(e)
 	q.queued--
-	if len(s.queue) > 0 {
+	if s.queue.Len() > 0 {
 		return
 	}
 	for class := range q.waiting {
@@ -218,7 +221,7 @@
 func (q *Queue) Release(now time.Duration, id string) Changes {
 	var c Changes
 	e := q.entries[id]
-	if e == nil || e.index != admitted {
+	if e == nil || !e.admitted {
 		return c
 	}
 	q.end(e)
@@ -245,7 +248,7 @@
 // admitted request is ended by Release.
 func (q *Queue) Cancel(_ time.Duration, id string) Changes {
 	var c Changes
-	if e := q.entries[id]; e != nil && e.index != admitted {
+	if e := q.entries[id]; e != nil && !e.admitted {
 		q.dequeue(e)
 		q.end(e)
 		c.refuse(id, result.CallerGone)
@@ -265,7 +268,7 @@
 	next, found := time.Duration(0), false
 	for _, services := range q.waiting {
 		for _, s := range services {
-			if d := s.queue[0].deadline; !found || d < next {
+			if d := s.queue.First().Deadline; !found || d < next {
 				next, found = d, true
 			}
 		}
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -1,10 +1,10 @@
 package admission
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/edf"
 )
 
 // holdWeight is the weight of a new sample in the average time that requests
@@ -13,63 +13,14 @@
 
 // entry is a request that has not ended.
 type entry struct {
-	id       string
-	service  *service
-	caller   *caller
-	deadline time.Duration
-	sequence uint64
-	// index is the place in the heap, or admitted.
-	index      int
+	edf.Item
+	id         string
+	service    *service
+	caller     *caller
+	admitted   bool
 	admittedAt time.Duration
 }
 
-const admitted = -1
-
-// before is the order of admission within a class.
-func (e *entry) before(other *entry) bool {
-	if e.deadline != other.deadline {
-		return e.deadline < other.deadline
-	}
-	return e.sequence < other.sequence
-}
-
-// entries is a heap with the earliest deadline first.
-type entries []*entry
-
-func (h entries) Len() int           { return len(h) }
-func (h entries) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h entries) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push appends an *entry for package heap.
-func (h *entries) Push(x any) {
-	e := x.(*entry)
-	e.index = len(*h)
-	*h = append(*h, e)
-}
-
-// Pop removes the last entry for package heap.
-func (h *entries) Pop() any {
-	last := len(*h) - 1
-	e := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return e
-}
-
-// ahead counts the entries that would be admitted before e.
-func (h entries) ahead(e *entry) int {
-	n := 0
-	for _, other := range h {
-		if other.before(e) {
-			n++
-		}
-	}
-	return n
-}
-
 // service is the state of one service.
 type service struct {
 	name string
@@ -78,7 +29,7 @@
 	callers map[string]*caller
 	// anyone stands for all callers of a service that lists none.
 	anyone   caller
-	queue    entries
+	queue    edf.Queue[*entry]
 	inFlight int
 	// hold is the average time from admission to release in nanoseconds.
 	hold float64
@@ -132,7 +83,3 @@
 	}
 	s.hold += holdWeight * (float64(hold) - s.hold)
 }
-
-func (s *service) push(e *entry) { heap.Push(&s.queue, e) }
-
-func (s *service) remove(e *entry) { heap.Remove(&s.queue, e.index) }
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -16,7 +16,7 @@
 
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
-	"admission", "config", "configuration", "control", "coordinator", "dispatch", "endpoint",
+	"admission", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
 	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
 }
 
