--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,6 +18,8 @@
 var decisionPackages = []string{
 	"admission", "config", "configuration", "control", "coordinator", "dispatch", "endpoint",
 	"keyrange", "peerwire", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
+	"admission", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
+	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
 }
 
 // allowedStandard are the standard packages that a decision package may import.
