--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -5,8 +5,10 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -20,6 +22,10 @@
 	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
 }
 
+// messagePackages hold nothing but messages and constants. Decision packages may
+// import them, and they obey the same rules.
+var messagePackages = []string{"peerwire", "platformapi", "../api"}
+
 // allowedStandard are the standard packages that a decision package may import.
 // None does I/O or starts a goroutine.
 var allowedStandard = map[string]bool{
@@ -48,6 +54,9 @@
 
 const internalPrefix = "github.com/gypsumlug/gypsumlug/internal/"
 
+// purePackages returns the directories, below internal, that must be pure.
+func purePackages() []string { return slices.Concat(decisionPackages, messagePackages) }
+
 func sourceFiles(t *testing.T, pkg string) []string {
 	t.Helper()
 	all, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
@@ -65,17 +74,17 @@
 
 func TestDecisionPackagesImportNoAdapter(t *testing.T) {
 	decision := make(map[string]bool)
-	for _, p := range decisionPackages {
-		decision[internalPrefix+p] = true
+	for _, p := range purePackages() {
+		decision[path.Join(internalPrefix, p)] = true
 	}
-	for _, pkg := range decisionPackages {
+	for _, pkg := range purePackages() {
 		for _, file := range sourceFiles(t, pkg) {
 			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
 			for _, spec := range parsed.Imports {
-				path, _ := strconv.Unquote(spec.Path.Value)
-				if !allowedStandard[path] && !allowedModules[path] && !decision[path] {
-					t.Errorf("%s imports %s, which a decision package may not", file, path)
+				name, _ := strconv.Unquote(spec.Path.Value)
+				if !allowedStandard[name] && !allowedModules[name] && !decision[name] {
+					t.Errorf("%s imports %s, which a decision package may not", file, name)
 				}
 			}
 		}
@@ -83,7 +92,7 @@
 }
 
 func TestDecisionPackagesReadNoClock(t *testing.T) {
-	for _, pkg := range decisionPackages {
+	for _, pkg := range purePackages() {
 		for _, file := range sourceFiles(t, pkg) {
 			source, err := os.ReadFile(file)
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -14,7 +14,6 @@
 package configuration
 
 import (
-	"errors"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
@@ -53,17 +52,6 @@
 	progress time.Duration
 }
 
-type refusedManifest struct {
-	hash  string
-	until time.Duration
-}
-
-// Refusal is the number of refusals with one code.
-type Refusal struct {
-	Code  result.Code `json:"code"`
-	Count uint64      `json:"count"`
-}
-
 // New returns a store without a revision in force.
 func New() *Store {
 	return &Store{documents: make(map[string][]byte), counts: make(map[result.Code]uint64)}
@@ -263,52 +251,3 @@
 	s.watermark = s.Revision()
 	s.Count(result.Errorf(result.DocumentUnavailable, "revision %d: %d documents could not be fetched", c.parsed.Revision, len(c.missing)))
 }
-
-// Refused reports whether the manifest was refused lately. It isn't worth
-// fetching again before RefusalTTL has passed.
-func (s *Store) Refused(now time.Duration, hash string) bool {
-	for _, r := range s.refused {
-		if r.hash == hash && now < r.until {
-			return true
-		}
-	}
-	return false
-}
-
-// Conflict counts a host that says to have the revision in force with other
-// content; nothing is fetched.
-func (s *Store) Conflict(now time.Duration, revision config.Revision, hash string) {
-	if revision == 0 || hash == "" || revision != s.Revision() || s.Refused(now, hash) {
-		return
-	}
-	if err := s.compare(revision, hash); err != nil {
-		_ = s.refuse(now, hash, err)
-	}
-}
-
-// Count counts a failure to read a value, for the adapter's errors.
-func (s *Store) Count(err error) { _ = s.count(err) }
-
-func (s *Store) refuse(now time.Duration, hash string, err error) error {
-	s.refused = append(s.refused, refusedManifest{hash: hash, until: now + RefusalTTL})
-	if len(s.refused) > maxRefused {
-		s.refused = s.refused[1:]
-	}
-	return s.count(err)
-}
-
-func (s *Store) count(err error) error {
-	var typed *result.Error
-	if !errors.As(err, &typed) {
-		typed = result.Errorf(result.PlatformUnavailable, "%v", err)
-	}
-	s.counts[typed.Code]++
-	s.last = typed
-	return typed
-}
-
-// Refusals returns the refusals by code, in ascending order of code.
-func (s *Store) Refusals() []Refusal { return sortedRefusals(s.counts) }
-
-// LastRefusal returns the last refusal, or nil.
-func (s *Store) LastRefusal() *result.Error { return s.last }
