--- /dev/null
+++ b/client/attempt.go
@@ -0,0 +1,152 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// tryNextHost reports whether e proves that the host did not run the request
+// and another host may take it. Refusals that every host would make, and those
+// that protect the endpoints or other callers, are final.
+func tryNextHost(e *api.Error) bool {
+	switch e.Code {
+	case result.HostUnreachable, result.NotReady, result.Stopping, result.QueueFull, result.LedgerFull:
+		return true
+	default:
+		return false
+	}
+}
+
+// tryNextHostWithPermit reports whether a submit may be sent to another host
+// with the same permit, to run or to learn its outcome.
+func tryNextHostWithPermit(e *api.Error) bool {
+	switch e.Code {
+	case result.OutcomeUnknown, result.ForwardUnknown, result.IssuerUnreachable:
+		return true
+	default:
+		return tryNextHost(e)
+	}
+}
+
+func errExpired() *api.Error {
+	return result.Errorf(result.ExpiredInQueue, "the deadline passed before the request was sent")
+}
+
+// settled is what several attempts with one permit have shown together.
+type settled struct {
+	answer api.SubmitAnswer
+	err    *api.Error
+	// sent tells that an attempt may have run.
+	sent bool
+}
+
+// add takes in the outcome of one more attempt. After an attempt that may have
+// run, a host's refusal proves nothing, unless the permit's ledger gave it.
+func (s *settled) add(a api.SubmitAnswer, err *api.Error) *api.Error {
+	if s.sent && err != nil && err.Code.Class() == api.ClassNotRun && !fromLedger(err.Code) {
+		return err
+	}
+	s.answer, s.err = a, err
+	s.sent = s.sent || err != nil && err.Code.Class() == api.ClassUnknown
+	return err
+}
+
+// fromLedger reports whether the code states that the permit never ran.
+func fromLedger(c api.Code) bool {
+	return c == result.PermitBurnt || c == result.PermitExpired
+}
+
+// post sends one request to one host and decodes its answer. The HTTP transport
+// can't send it twice: the request has no GetBody.
+func (c *Client) post(ctx context.Context, address, path, requestID string, body, answer any) *api.Error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return result.Errorf(result.BadJSON, "%v", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return result.Errorf(result.InvalidValue, "%v", err)
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	return c.exchange(request, requestID, answer)
+}
+
+func (c *Client) get(ctx context.Context, address, path string, answer any) *api.Error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return result.FieldErrorf(result.InvalidValue, "address", "%v", err)
+	}
+	response, refusal := c.do(request)
+	if refusal != nil {
+		return refusal
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(answer); err != nil {
+		return result.Errorf(result.BadReply, "%v", err)
+	}
+	return nil
+}
+
+// do sends the request. Without a connection nothing of it can have been sent;
+// with one, an error leaves open what the host received.
+func (c *Client) do(request *http.Request) (*http.Response, *api.Error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	switch {
+	case err == nil:
+		return response, nil
+	case connected.Load():
+		return nil, result.Errorf(result.OutcomeUnknown, "%v", err)
+	default:
+		return nil, result.Errorf(result.HostUnreachable, "%v", err)
+	}
+}
+
+func (c *Client) exchange(request *http.Request, requestID string, answer any) *api.Error {
+	response, refusal := c.do(request)
+	if refusal != nil {
+		return refusal
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return result.Errorf(result.OutcomeUnknown, "the reply ended early: %v", err)
+	}
+	return decodeAnswer(data, requestID, answer)
+}
+
+// decodeAnswer returns the error that an answer stands for. A reply that is not
+// an answer proves nothing.
+func decodeAnswer(data []byte, requestID string, answer any) *api.Error {
+	var head api.ErrorAnswer
+	if err := json.Unmarshal(data, &head); err != nil || !known(head.Code) {
+		return result.Errorf(result.OutcomeUnknown, "the reply is not an answer of the API")
+	}
+	if head.RequestID != "" && head.RequestID != requestID {
+		return result.FieldErrorf(result.OutcomeUnknown, "request_id", "the answer is for request %q", head.RequestID)
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return result.Errorf(result.OutcomeUnknown, "the reply is not an answer of the API: %v", err)
+	}
+	switch head.Code.Class() {
+	case api.ClassComplete, api.ClassPartial:
+		return nil
+	default:
+		return &api.Error{Code: head.Code, Field: head.Field, Reason: head.Reason}
+	}
+}
+
+// known reports whether a host may answer with c.
+func known(c api.Code) bool {
+	return c.Class() >= api.ClassComplete && c.Class() <= api.ClassFailed
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -90,6 +90,8 @@
 	WrongMediaType Code = 327
 	// BodyTimeout: the body did not arrive in time.
 	BodyTimeout Code = 328
+	// HostUnreachable: the client could not reach the host, and nothing was sent.
+	HostUnreachable Code = 329
 	// RelayQueueFull: the relay's queue of the replica is full.
 	RelayQueueFull Code = 330
 	// EndpointShed: the endpoint refused because it is overloaded.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -45,6 +45,7 @@
 	{Code: NotFound, Name: "not-found", Meaning: "The path or object does not exist.", Action: "See docs/API.md."},
 	{Code: WrongMediaType, Name: "wrong-media-type", Meaning: "The body is not application/json.", Action: "Send application/json."},
 	{Code: BodyTimeout, Name: "body-timeout", Meaning: "The body did not arrive in time.", Action: "Send the request again."},
+	{Code: HostUnreachable, Name: "host-unreachable", Meaning: "The client could not reach the host, and nothing was sent.", Action: "Check the address; the Go client tries the next host."},
 	{Code: RelayQueueFull, Name: "relay-queue-full", Meaning: "The relay's queue of the replica is full.", Action: "Internal: another replica is tried."},
 	{Code: EndpointShed, Name: "endpoint-shed", Meaning: "The endpoint refused because it is overloaded.", Action: "Internal: another replica is tried."},
 	{Code: EndpointLeaving, Name: "endpoint-leaving", Meaning: "The endpoint is draining.", Action: "Internal: another replica is tried."},
