--- /dev/null
+++ b/cmd/gypsumlug/main.go
@@ -0,0 +1,59 @@
+// Command gypsumlug is the command-line tool of operators and callers.
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// cli holds one field a subcommand, each in a file of its own. A subcommand has
+// a method Run(*environment) error.
+type cli struct {
+	Output outputFormat `help:"Format of the output: table or json." enum:"table,json" default:"table" short:"o"`
+
+	Query   queryCmd   `cmd:"" help:"Query a service."`
+	Submit  submitCmd  `cmd:"" help:"Run a request at most once, under a permit."`
+	Codes   codesCmd   `cmd:"" help:"List the result codes."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+const description = `Query services, submit requests that may run only once, and work on the questionnaire.
+
+The exit code is 0 if the result is complete, else the class of its result code: 2 partial, 3 not run, 4 unknown, 5 failed, 6 a fault in a file, an address or the command line. See "gypsumlug codes".`
+
+// environment is what a subcommand may use of the process.
+type environment struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+	output outputFormat
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run carries out one command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var c cli
+	env := &environment{ctx: ctx, stdout: stdout, stderr: stderr, output: outputTable}
+	parser, err := kong.New(&c, kong.Name("gypsumlug"), kong.Description(description), kong.Writers(stdout, stderr))
+	if err != nil {
+		return env.fail(result.Errorf(result.Internal, "%v", err))
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		return env.fail(result.Errorf(result.Usage, "%v", err))
+	}
+	env.output = c.Output
+	return env.fail(command.Run(env))
+}
--- /dev/null
+++ b/cmd/gypsumlug/output.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/strictjson"
+)
+
+// outputFormat is the value of --output.
+type outputFormat string
+
+const (
+	outputTable outputFormat = "table"
+	outputJSON  outputFormat = "json"
+)
+
+// fault is the JSON form of an error on standard error.
+type fault struct {
+	Code   result.Code `json:"code"`
+	Name   string      `json:"name"`
+	File   string      `json:"file,omitempty"`
+	Line   int         `json:"line,omitempty"`
+	Field  string      `json:"field,omitempty"`
+	Reason string      `json:"reason"`
+	Remedy string      `json:"remedy,omitempty"`
+}
+
+// failure is the JSON form of all errors of a command.
+type failure struct {
+	Faults []fault `json:"faults"`
+}
+
+// codeError makes a command exit with the class of a code that it has already
+// printed as a part of its result.
+type codeError struct{ code result.Code }
+
+func (e codeError) Error() string { return e.code.String() }
+
+// exitWith returns the error that stands for a printed result.
+func exitWith(code result.Code) error {
+	if code.Class() == result.ClassComplete {
+		return nil
+	}
+	return codeError{code}
+}
+
+// fail prints err, unless it is nil or printed already, and returns the exit code.
+func (e *environment) fail(err error) int {
+	if err == nil {
+		return 0
+	}
+	var printed codeError
+	if errors.As(err, &printed) {
+		return int(printed.code.Class())
+	}
+	faults := faultsOf(err)
+	if e.output == outputJSON {
+		_ = json.NewEncoder(e.stderr).Encode(failure{Faults: faults})
+	} else {
+		_, _ = fmt.Fprintf(e.stderr, "gypsumlug: %v\n", err)
+	}
+	return int(faults[0].Code.Class())
+}
+
+func faultsOf(err error) []fault {
+	var many strictjson.Faults
+	if errors.As(err, &many) {
+		out := make([]fault, len(many))
+		for i, f := range many {
+			out[i] = fault{f.Code, f.Code.String(), f.File, f.Line, f.Field, f.Reason, f.Remedy}
+		}
+		return out
+	}
+	var one *result.Error
+	if !errors.As(err, &one) {
+		one = result.Errorf(result.Internal, "%v", err)
+	}
+	return []fault{{Code: one.Code, Name: one.Code.String(), Field: one.Field, Reason: one.Reason}}
+}
+
+// print writes v as JSON, or else as the table that fill makes.
+func (e *environment) print(v any, fill func(t table.Writer)) error {
+	if e.output == outputJSON {
+		enc := json.NewEncoder(e.stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	t := table.NewWriter()
+	style := table.StyleLight
+	style.Options = table.OptionsNoBordersAndSeparators
+	t.SetStyle(style)
+	fill(t)
+	_, err := fmt.Fprintln(e.stdout, t.Render())
+	return err
+}
+
+// line writes one line of text, for tables' headings and notes.
+func (e *environment) line(format string, args ...any) {
+	if e.output == outputTable {
+		_, _ = fmt.Fprintf(e.stdout, format+"\n", args...)
+	}
+}
