--- a/internal/config/bundle.go
+++ b/internal/config/bundle.go
@@ -233,6 +233,8 @@
 		return invalid("latency_target_ms", s.LatencyTargetMS)
 	case s.MaxHits < 1:
 		return invalid("max_hits", s.MaxHits)
+	case s.FreshSnapshots < 0:
+		return invalid("fresh_snapshots", s.FreshSnapshots)
 	case s.QueueLimit < 0:
 		return invalid("queue_limit", s.QueueLimit)
 	case s.InFlightLimit < 1:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,6 +94,9 @@
 	DeadlineMS int `json:"deadline_ms"`
 	// MaxHits bounds the documents of an answer.
 	MaxHits int `json:"max_hits"`
+	// FreshSnapshots is the number of newest snapshots that a query may be
+	// answered from; zero means any.
+	FreshSnapshots int `json:"fresh_snapshots,omitempty"`
 	// QueueLimit bounds the requests waiting for admission on one host.
 	QueueLimit int `json:"queue_limit"`
 	// InFlightLimit bounds the admitted requests of the service on one host.
--- /dev/null
+++ b/internal/questionnaire/schema.go
@@ -0,0 +1,20 @@
+package questionnaire
+
+import (
+	"encoding/json"
+
+	"github.com/invopop/jsonschema"
+)
+
+// Schema returns the JSON Schema of questionnaires. Editors complete and check
+// files by it; [Parse] checks more.
+func Schema() []byte {
+	r := jsonschema.Reflector{Anonymous: true, ExpandedStruct: true}
+	schema := r.Reflect(&Questionnaire{})
+	schema.Title = "gypsumlug questionnaire"
+	data, err := json.MarshalIndent(schema, "", "  ")
+	if err != nil {
+		panic(err)
+	}
+	return append(data, '\n')
+}
