Add the questionnaire commands

Cause: operators need to check, generate, explain and compare questionnaires without a running host.

Change: gypsumlug questionnaire check, generate, explain, diff and schema. generate refuses a revision that hosts holding the directory's present one would refuse, writes the manifest last and removes documents of services that are gone.

Conclusion: tests run whole command lines and check exit codes, numbered faults and files.

--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -17,10 +17,11 @@
 type cli struct {
 	Output outputFormat `help:"Format of the output: table or json." enum:"table,json" default:"table" short:"o"`
 
-	Query   queryCmd   `cmd:"" help:"Query a service."`
-	Submit  submitCmd  `cmd:"" help:"Run a request at most once, under a permit."`
-	Codes   codesCmd   `cmd:"" help:"List the result codes."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Query         queryCmd         `cmd:"" help:"Query a service."`
+	Submit        submitCmd        `cmd:"" help:"Run a request at most once, under a permit."`
+	Questionnaire questionnaireCmd `cmd:"" help:"Check, generate, explain and compare questionnaires."`
+	Codes         codesCmd         `cmd:"" help:"List the result codes."`
+	Version       versionCmd       `cmd:"" help:"Print the version."`
 }
 
 const description = `Query services, submit requests that may run only once, and work on the questionnaire.
--- /dev/null
+++ b/cmd/gypsumlug/main_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+)
+
+func TestCommand(t *testing.T) { testsuite.RunSpecs(t, "gypsumlug") }
+
+const muscat = "../../examples/muscat/questionnaire.hujson"
+
+// execute runs one command line and returns what it left.
+func execute(args ...string) (code int, stdout, stderr string) {
+	var out, err bytes.Buffer
+	code = run(context.Background(), args, &out, &err)
+	return code, out.String(), err.String()
+}
+
+// revised writes the Muscat questionnaire with one text replaced.
+func revised(old, changed string) string {
+	data, err := os.ReadFile(muscat)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	ExpectWithOffset(1, string(data)).To(ContainSubstring(old))
+	path := filepath.Join(GinkgoT().TempDir(), "q.hujson")
+	Expect(os.WriteFile(path, []byte(strings.Replace(string(data), old, changed, 1)), fileMode)).To(Succeed())
+	return path
+}
+
+var _ = Describe("A command line", func() {
+	DescribeTable("that is at fault exits with the class of a numbered code",
+		func(code result.Code, args ...string) {
+			exit, stdout, stderr := execute(append([]string{"--output", "json"}, args...)...)
+			Expect(exit).To(Equal(int(code.Class())), stderr)
+			if strings.Contains(stderr, "{") {
+				var f failure
+				Expect(json.Unmarshal([]byte(stderr), &f)).To(Succeed())
+				Expect(f.Faults[0].Code).To(Equal(code))
+				return
+			}
+			Expect(stdout + stderr).To(ContainSubstring(code.String()))
+		},
+		Entry("unknown command", result.Usage, "reserve"),
+		Entry("unknown flag", result.Usage, "codes", "--all"),
+		Entry("missing flags", result.Usage, "query", "text"),
+		Entry("bad address", result.Usage, "query", "--host", "localhost", "--service", "s", "--caller", "c", "text"),
+		Entry("no such code", result.Usage, "codes", "999"),
+		Entry("no daemon", result.HostUnreachable, "query", "--host", "127.0.0.1:1", "--service", "s", "--caller", "c", "text"),
+		Entry("no daemon to submit to", result.HostUnreachable, "submit", "--host", "127.0.0.1:1", "--service", "s", "--caller", "c", "body"),
+		Entry("no file", result.Unreachable, "questionnaire", "check", "/nonexistent"),
+		Entry("a file of another kind", result.QuestionnaireSyntax, "questionnaire", "check", "main.go"),
+		Entry("a service that isn't there", result.Usage, "questionnaire", "explain", "--service", "x", muscat),
+		Entry("no directory to write to", result.Unreachable, "questionnaire", "generate", "--out", "/proc/x", muscat),
+	)
+
+	It("reports every fault of a questionnaire with its line", func() {
+		exit, _, stderr := execute("questionnaire", "check", revised(`"urgency": "urgent"`, `"urgency": "now", "retries": 3`))
+		Expect(exit).To(Equal(6))
+		Expect(stderr).To(And(
+			ContainSubstring("services[0].urgency: got \"now\"; want one of urgent, normal, archive"),
+			ContainSubstring("604 questionnaire-field: services[0].retries: unknown field"),
+		))
+	})
+
+	It("generates a revision, and refuses one that hosts would refuse", func() {
+		dir := GinkgoT().TempDir()
+		generate := func(file string, flags ...string) int {
+			exit, _, _ := execute(append([]string{"questionnaire", "generate", "--out", dir, file}, flags...)...)
+			return exit
+		}
+		Expect(generate(muscat)).To(Equal(0))
+		Expect(generate(muscat)).To(Equal(0))
+		fewer := revised(`"count": 20`, `"count": 19`)
+		Expect(generate(fewer)).To(Equal(6))
+		Expect(filepath.Join(dir, "documents", "service-dispatch-desk-20.json")).To(BeAnExistingFile())
+		Expect(generate(fewer, "--revision", "2")).To(Equal(0))
+		Expect(filepath.Join(dir, "documents", "service-dispatch-desk-20.json")).NotTo(BeAnExistingFile())
+		Expect(generate(muscat)).To(Equal(6))
+	})
+
+	It("lists what a revision changes, for people and programs", func() {
+		after := revised(`"deadline_ms": 250`, `"deadline_ms": 200`)
+		exit, stdout, _ := execute("questionnaire", "diff", muscat, after)
+		Expect(exit).To(Equal(0))
+		Expect(stdout).To(ContainSubstring("services[dispatch-desk].deadline_ms  250  200"))
+		exit, stdout, _ = execute("--output", "json", "questionnaire", "diff", muscat, after)
+		Expect(exit).To(Equal(0))
+		var d struct{ Changes, Risks []json.RawMessage }
+		Expect(json.Unmarshal([]byte(stdout), &d)).To(Succeed())
+		Expect(d.Changes).To(HaveLen(1))
+		Expect(d.Risks).To(HaveLen(2))
+	})
+
+	DescribeTable("prints the same as JSON", func(args ...string) {
+		exit, stdout, _ := execute(append([]string{"--output", "json"}, args...)...)
+		Expect(exit).To(Equal(0))
+		Expect(json.Valid([]byte(stdout))).To(BeTrue())
+		exit, table, _ := execute(args...)
+		Expect(exit).To(Equal(0))
+		Expect(table).NotTo(BeEmpty())
+	},
+		Entry("codes", "codes"),
+		Entry("version", "version"),
+		Entry("check", "questionnaire", "check", muscat),
+		Entry("explain", "questionnaire", "explain", muscat),
+		Entry("schema", "questionnaire", "schema"),
+	)
+})
