--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -8,12 +8,17 @@
 
 // chooseSnapshot returns the newest snapshot of which every shard has an
 // eligible replica, else the one whose eligible shards cover the most keys, the
-// newest first. It never returns the snapshot with ID exclude, and returns nil
+// newest first. Of the snapshots only the fresh newest ones count, or all if
+// fresh is zero. It never returns the snapshot with ID exclude, and returns nil
 // if no shard of any snapshot has an eligible replica.
-func chooseSnapshot(now time.Duration, x *config.Index, r Replicas, exclude uint64) *config.Snapshot {
+func chooseSnapshot(now time.Duration, x *config.Index, fresh int, r Replicas, exclude uint64) *config.Snapshot {
 	var best *config.Snapshot
 	var bestKeys uint64
-	for i := len(x.Snapshots) - 1; i >= 0; i-- {
+	oldest := 0
+	if fresh > 0 {
+		oldest = max(0, len(x.Snapshots)-fresh)
+	}
+	for i := len(x.Snapshots) - 1; i >= oldest; i-- {
 		s := &x.Snapshots[i]
 		if s.ID == exclude {
 			continue
@@ -72,7 +77,7 @@
 	if q.restarted || q.p.Deadline-now < restartReserve {
 		return false
 	}
-	next := chooseSnapshot(now, q.p.Index, q.p.Replicas, q.snapshot.ID)
+	next := chooseSnapshot(now, q.p.Index, q.p.Service.FreshSnapshots, q.p.Replicas, q.snapshot.ID)
 	if next == nil {
 		return false
 	}
--- /dev/null
+++ b/internal/query/plan_test.go
@@ -0,0 +1,58 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+)
+
+// upReplicas has just the named endpoints eligible.
+type upReplicas map[string]bool
+
+func (u upReplicas) Eligible(_ time.Duration, id string) bool { return u[id] }
+
+func (u upReplicas) Pick(time.Duration, []string, []string) (string, bool) { return "", false }
+
+func (u upReplicas) HedgeDelay(*config.Service) time.Duration { return 0 }
+
+// TestChooseSnapshot gives snapshot n two shards, held by endpoints na and nb.
+func TestChooseSnapshot(t *testing.T) {
+	index := &config.Index{}
+	for id, name := range []string{"1", "2", "3"} {
+		halves := keyrange.Split(2)
+		index.Snapshots = append(index.Snapshots, config.Snapshot{ID: uint64(id + 1), Shards: []config.Shard{
+			{Range: halves[0], Replicas: []string{name + "a"}},
+			{Range: halves[1], Replicas: []string{name + "b"}},
+		}})
+	}
+	for _, c := range []struct {
+		name    string
+		up      upReplicas
+		fresh   int
+		exclude uint64
+		want    uint64
+	}{
+		{"newest whole one", upReplicas{"1a": true, "1b": true, "2a": true, "2b": true, "3a": true}, 0, 0, 2},
+		{"only the newest is fresh", upReplicas{"1a": true, "1b": true, "2a": true, "2b": true, "3a": true}, 1, 0, 3},
+		{"the two newest are fresh", upReplicas{"1a": true, "1b": true, "2a": true, "3b": true}, 2, 0, 3},
+		{"more are fresh than there are", upReplicas{"1a": true, "1b": true, "2a": true}, 9, 0, 1},
+		{"nothing fresh is held", upReplicas{"1a": true, "1b": true}, 2, 0, 0},
+		{"excluded ones count as fresh", upReplicas{"1a": true, "1b": true, "2a": true, "2b": true, "3a": true, "3b": true}, 2, 3, 2},
+		{"best coverage", upReplicas{"1a": true, "1b": true, "2a": true}, 0, 1, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			got := chooseSnapshot(0, index, c.fresh, c.up, c.exclude)
+			if c.want == 0 {
+				g.Expect(got).To(BeNil())
+				return
+			}
+			g.Expect(got).NotTo(BeNil())
+			g.Expect(got.ID).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -157,7 +157,7 @@
 // Start plans the query and dispatches its primary attempts.
 func (q *Query) Start(now time.Duration) Actions {
 	q.started = now
-	q.snapshot = chooseSnapshot(now, q.p.Index, q.p.Replicas, 0)
+	q.snapshot = chooseSnapshot(now, q.p.Index, q.p.Service.FreshSnapshots, q.p.Replicas, 0)
 	if q.snapshot == nil {
 		q.finishNotRun(result.NoReplica)
 		return q.take()
