Hold the page of result codes and the code together

Cause: nothing checked that every code is in the table, and the page was linked but not there.

An error without a reason shows the code's meaning and action.

--- a/cmd/gypsumlug/codes.go
+++ b/cmd/gypsumlug/codes.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"fmt"
+
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
 type codesCmd struct {
-	Code []result.Code `arg:"" optional:"" help:"Codes to list; by default all."`
+	Code     []result.Code `arg:"" optional:"" help:"Codes to list; by default all."`
+	Markdown bool          `help:"Print the page docs/RESULT-CODES.md."`
 }
 
 // codeEntry is the JSON form of a result code.
@@ -21,6 +24,10 @@
 
 // Run lists the result codes.
 func (c *codesCmd) Run(env *environment) error {
+	if c.Markdown {
+		_, err := fmt.Fprint(env.stdout, result.Markdown())
+		return err
+	}
 	entries, err := c.entries()
 	if err != nil {
 		return err
--- a/cmd/gypsumlug/output.go
+++ b/cmd/gypsumlug/output.go
@@ -30,6 +30,14 @@
 	Remedy string      `json:"remedy,omitempty"`
 }
 
+// String formats the fault in one line; that of a file begins with its place.
+func (f fault) String() string {
+	if f.File != "" {
+		return strictjson.Fault{Code: f.Code, File: f.File, Line: f.Line, Field: f.Field, Reason: f.Reason, Remedy: f.Remedy}.String()
+	}
+	return "gypsumlug: " + (&result.Error{Code: f.Code, Field: f.Field, Reason: f.Reason}).Error()
+}
+
 // failure is the JSON form of all errors of a command.
 type failure struct {
 	Faults []fault `json:"faults"`
@@ -61,8 +69,10 @@
 	faults := faultsOf(err)
 	if e.output == outputJSON {
 		_ = json.NewEncoder(e.stderr).Encode(failure{Faults: faults})
-	} else {
-		_, _ = fmt.Fprintf(e.stderr, "gypsumlug: %v\n", err)
+		return int(faults[0].Code.Class())
+	}
+	for _, f := range faults {
+		_, _ = fmt.Fprintln(e.stderr, f)
 	}
 	return int(faults[0].Code.Class())
 }
@@ -80,6 +90,9 @@
 	if !errors.As(err, &one) {
 		one = result.Errorf(result.Internal, "%v", err)
 	}
+	if entry, ok := result.Lookup(one.Code); ok && one.Reason == "" {
+		one = &result.Error{Code: one.Code, Field: one.Field, Reason: entry.Meaning + " " + entry.Action}
+	}
 	return []fault{{Code: one.Code, Name: one.Code.String(), Field: one.Field, Reason: one.Reason}}
 }
 
