--- a/internal/questionnaire/diff.go
+++ b/internal/questionnaire/diff.go
@@ -116,6 +116,7 @@
 	cut("limits.requests_per_second", was.Limits.RequestsPerSecond, is.Limits.RequestsPerSecond, inUse)
 	cut("limits.requests_at_once", was.Limits.RequestsAtOnce, is.Limits.RequestsAtOnce, inUse)
 	cut("deadline_ms", was.DeadlineMS, is.DeadlineMS, "slow answers that were in time are not any more")
+	cut("most_documents", was.MostDocuments, is.MostDocuments, "longer answers are cut, and say so")
 	cut("shape.replicas", was.Shape.Replicas, is.Shape.Replicas, "let the endpoints drain before they are switched off")
 	cut("shape.connections", was.Shape.Connections, is.Shape.Connections, "hosts close connections above their share when they are idle")
 	if was.MayBeRepeated != is.MayBeRepeated {
