Bound the documents of a revision together

Cause: a questionnaire of many large indexes was accepted and could have needed gigabytes; finding lines took time square in the size of a file.

Change: the documents together may have at most 64 MiB (code 607); lines are found by binary search. The example on loopback is checked by a test.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -64,6 +64,16 @@
 	),
 )
 
+var _ = It("The deployment on loopback is valid", func() {
+	q := parse("loopback")
+	Expect(questionnaire.Risks(q)).To(BeEmpty())
+	for _, name := range []string{"host-north.hujson", "host-south.hujson"} {
+		s, err := settings.Load(filepath.Join("loopback", name))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Peers).NotTo(ContainElement(s.PeerAddress))
+	}
+})
+
 func parse(dir string) *questionnaire.Questionnaire {
 	path := filepath.Join(dir, "questionnaire.hujson")
 	data, err := os.ReadFile(path)
--- a/internal/questionnaire/capacity.go
+++ b/internal/questionnaire/capacity.go
@@ -19,6 +19,8 @@
 	// bytesPerReplica and bytesPerShard bound what an index document needs.
 	bytesPerReplica = maxNameBytes + 10
 	bytesPerShard   = 80
+	// maxTotalBytes bounds all documents of a revision together.
+	maxTotalBytes = 64 << 20
 )
 
 // shardsOfRequest returns the number of shards that one request runs on.
@@ -62,6 +64,18 @@
 	}
 }
 
+// totalSize checks that the documents together stay of a size that hosts hold.
+func (c *checker) totalSize() {
+	total := 0
+	for i := range c.q.Services {
+		total += c.q.Services[i].Count * indexBytes(&c.q.Services[i])
+	}
+	if total > maxTotalBytes {
+		c.doc.Add(result.QuestionnaireCapacity, "services", fmt.Sprintf("the documents could have %d bytes together", total),
+			fmt.Sprintf("at most %d are allowed; split the indexes into fewer shards", maxTotalBytes))
+	}
+}
+
 // slotsNeeded returns how many slots the expected requests keep busy.
 func slotsNeeded(s *Service) float64 {
 	shards := float64(s.Limits.RequestsPerSecond) * float64(s.shardsOfRequest())
--- a/internal/questionnaire/parse.go
+++ b/internal/questionnaire/parse.go
@@ -47,6 +47,7 @@
 	}
 	// What follows compares answers that are each in range.
 	c.uniqueAddresses()
+	c.totalSize()
 	for i := range c.q.Services {
 		c.capacity(fmt.Sprintf("services[%d]", i), &c.q.Services[i])
 		c.deadlines(fmt.Sprintf("services[%d]", i), &c.q.Services[i])
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -34,11 +34,13 @@
 
 // Document is a decoded file with the lines of its fields.
 type Document struct {
-	file   string
-	codes  Codes
-	data   []byte
-	lines  map[string]int
-	faults Faults
+	file  string
+	codes Codes
+	data  []byte
+	// newlines are the offsets of the line ends.
+	newlines []int
+	lines    map[string]int
+	faults   Faults
 	// reported holds the paths with a fault, broken those of a wrong type.
 	reported map[string]bool
 	broken   map[string]bool
@@ -59,6 +61,7 @@
 	if !ok {
 		return d
 	}
+	d.newlines = newlines(data)
 	d.lines[""] = d.line(root.StartOffset)
 	d.value("", root, reflect.ValueOf(into).Elem())
 	return d
@@ -146,7 +149,18 @@
 }
 
 func (d *Document) line(offset int) int {
-	return 1 + strings.Count(string(d.data[:offset]), "\n")
+	before, _ := slices.BinarySearch(d.newlines, offset)
+	return 1 + before
+}
+
+func newlines(data []byte) []int {
+	var out []int
+	for i, c := range data {
+		if c == '\n' {
+			out = append(out, i)
+		}
+	}
+	return out
 }
 
 var positionPattern = regexp.MustCompile(`line (\d+), column \d+`)
