Let the platform stand-in follow a directory of configuration

Cause: in the walk-through a revised configuration must reach running hosts without a restart of the stand-ins.

Conclusion: the test publishes nothing of a directory with a missing or torn document, and each revision once.

--- /dev/null
+++ b/internal/standin/follow_test.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"os"
+	"path/filepath"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = It("A platform that follows a directory publishes whole and higher revisions only", func() {
+	const example = "../../examples/muscat/configuration"
+	dir := GinkgoT().TempDir()
+	p := NewPlatform()
+	publish := func() (bool, uint64) {
+		published, _ := p.publishNewer(dir)
+		now, _ := p.current()
+		return published, uint64(now.number)
+	}
+	expect := func(published bool, revision int) {
+		GinkgoHelper()
+		gotPublished, gotRevision := publish()
+		Expect(gotPublished).To(Equal(published))
+		Expect(gotRevision).To(BeEquivalentTo(revision))
+	}
+	expect(false, 0)
+	Expect(os.CopyFS(dir, os.DirFS(example))).To(Succeed())
+	missing := filepath.Join(dir, "documents", "index-outfitter-feed.json")
+	data, err := os.ReadFile(missing)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.Remove(missing)).To(Succeed())
+	expect(false, 0)
+	Expect(os.WriteFile(missing, data[:len(data)/2], 0o600)).To(Succeed())
+	expect(false, 0)
+	Expect(os.WriteFile(missing, data, 0o600)).To(Succeed())
+	expect(true, 1)
+	expect(false, 1)
+})
