Add the load package with the naive baseline

Package load plans jobs from a seed, drives targets in an open loop, with latency from the intended start, or in a closed loop, applies a table of faults to embedded stand-ins, checks each answer against what the stand-ins hold, and compares what callers were told with what ran. The baseline picks a random replica, never hedges and retries without limit. Hosts of gypsumlug plug in as targets.

--- /dev/null
+++ b/internal/load/baseline.go
@@ -0,0 +1,182 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// baselineRetryPause keeps unlimited retries from occupying a processor.
+const baselineRetryPause = time.Millisecond
+
+// Baseline is the naive policy that gypsumlug is compared with: a random replica
+// for each shard, no hedges, retries without limit until the deadline, and
+// connections opened as they are needed. Submits are retried like queries.
+type Baseline struct {
+	bundle   func() *config.Bundle
+	client   *http.Client
+	sequence atomic.Uint64
+	retries  atomic.Int64
+	prefix   string
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// NewBaseline returns a baseline host. bundle returns the configuration in force.
+func NewBaseline(host int, seed uint64, bundle func() *config.Bundle) *Baseline {
+	return &Baseline{
+		bundle: bundle,
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: callerIdleConnections,
+			IdleConnTimeout:     callerIdleConnectionsS,
+		}},
+		prefix: "b" + strconv.Itoa(host) + "-",
+		random: rand.New(rand.NewPCG(seed, uint64(host))),
+	}
+}
+
+// Retries returns the number of repeated dispatches.
+func (b *Baseline) Retries() int64 { return b.retries.Load() }
+
+// Query sends every shard to a random replica and merges what comes back.
+func (b *Baseline) Query(ctx context.Context, r *api.QueryRequest) (*api.QueryAnswer, error) {
+	bundle := b.bundle()
+	index := bundle.Index(r.Service)
+	snapshot := index.Snapshots[len(index.Snapshots)-1]
+	ctx, cancel := context.WithTimeout(ctx, bundle.Service(r.Service).Deadline())
+	defer cancel()
+	replies := make([]*endpointapi.Reply, len(snapshot.Shards))
+	var group sync.WaitGroup
+	for i, shard := range snapshot.Shards {
+		request := endpointapi.Request{Service: r.Service, Snapshot: snapshot.ID, Range: shard.Range, Body: r.Query, Limit: r.Limit}
+		group.Go(func() { replies[i] = b.retry(ctx, bundle, shard, endpointapi.PathSearch, request) })
+	}
+	group.Wait()
+	return mergeReplies(r, snapshot, replies), nil
+}
+
+// Permit makes permits up locally; nothing checks them.
+func (b *Baseline) Permit(_ context.Context, r *api.PermitRequest) (*api.PermitAnswer, error) {
+	answer := &api.PermitAnswer{RequestID: r.RequestID, Code: result.PermitIssued}
+	for range max(r.Count, 1) {
+		answer.Permits = append(answer.Permits, b.nextID())
+	}
+	return answer, nil
+}
+
+// Submit sends the request to a random replica until one answers.
+func (b *Baseline) Submit(ctx context.Context, r *api.SubmitRequest) (*api.SubmitAnswer, error) {
+	bundle := b.bundle()
+	index := bundle.Index(r.Service)
+	ctx, cancel := context.WithTimeout(ctx, bundle.Service(r.Service).Deadline())
+	defer cancel()
+	shards := index.Snapshots[len(index.Snapshots)-1].Shards
+	at := slices.IndexFunc(shards, func(s config.Shard) bool { return s.Range.Contains(r.Key) })
+	request := endpointapi.Request{ID: r.Permit, Service: r.Service, Range: shards[at].Range, Body: r.Body}
+	reply := b.retry(ctx, bundle, shards[at], endpointapi.PathSubmit, request)
+	if reply == nil {
+		return &api.SubmitAnswer{Permit: r.Permit, Code: result.OutcomeUnknown}, nil
+	}
+	return &api.SubmitAnswer{Permit: r.Permit, Code: result.Done, Outcome: reply.Outcome}, nil
+}
+
+// retry repeats a request until it succeeds; it returns nil at the deadline.
+func (b *Baseline) retry(ctx context.Context, bundle *config.Bundle, shard config.Shard, path string, r endpointapi.Request) *endpointapi.Reply {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		if attempt > 0 {
+			b.retries.Add(1)
+			pause(ctx, baselineRetryPause)
+		}
+		if path == endpointapi.PathSearch {
+			r.ID = b.nextID()
+		}
+		replica := bundle.Endpoint(shard.Replicas[b.intN(len(shard.Replicas))])
+		if reply := b.send(ctx, "http://"+replica.Address+path, r); reply != nil {
+			return reply
+		}
+	}
+	return nil
+}
+
+func (b *Baseline) send(ctx context.Context, url string, r endpointapi.Request) *endpointapi.Reply {
+	if deadline, ok := ctx.Deadline(); ok {
+		r.BudgetMS = time.Until(deadline).Milliseconds()
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return nil
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, endpointapi.MaxReplyBytes))
+	if err != nil || response.StatusCode != endpointapi.StatusDone {
+		return nil
+	}
+	reply := &endpointapi.Reply{}
+	if json.Unmarshal(body, reply) != nil {
+		return nil
+	}
+	return reply
+}
+
+func mergeReplies(r *api.QueryRequest, snapshot config.Snapshot, replies []*endpointapi.Reply) *api.QueryAnswer {
+	answer := &api.QueryAnswer{RequestID: r.RequestID, Code: result.Complete, Snapshot: snapshot.ID}
+	answer.Coverage.Shards = len(replies)
+	var covered []keyrange.Range
+	for i, reply := range replies {
+		if reply == nil {
+			missing := api.Missing{Range: snapshot.Shards[i].Range, Code: result.MissingDeadline}
+			answer.Coverage.Missing = append(answer.Coverage.Missing, missing)
+			answer.Code = result.Partial
+			continue
+		}
+		answer.Coverage.Covered++
+		covered = append(covered, snapshot.Shards[i].Range)
+		answer.Hits = append(answer.Hits, reply.Hits...)
+	}
+	answer.Coverage.Fraction = float64(keyrange.Size(covered)) / float64(keyrange.End)
+	slices.SortFunc(answer.Hits, standin.CompareHits)
+	return answer
+}
+
+func (b *Baseline) nextID() string {
+	return b.prefix + strconv.FormatUint(b.sequence.Add(1), 10)
+}
+
+func (b *Baseline) intN(n int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.IntN(n)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/load/html.go
@@ -0,0 +1,151 @@
+package load
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+//go:embed report.html
+var reportHTML string
+
+var reportTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
+	"ms": ms, "percent": percent, "faults": faultsOrNone,
+}).Parse(reportHTML))
+
+// Size of the drawing in pixels, and the tails that its axis shows.
+const (
+	plotWidth   = 640.0
+	plotHeight  = 300.0
+	plotMargin  = 60.0
+	plotTails   = 4.0
+	plotSamples = 200
+)
+
+var plotColours = []string{"#1b5e9e", "#c0572b"}
+
+type htmlReport struct {
+	*Report
+	Loop   string
+	Curves []curve
+	XTicks []tick
+	YTicks []tick
+	Width  float64
+	Height float64
+	Margin float64
+	Bars   []barGroup
+}
+
+type curve struct {
+	Name, Points, Colour string
+	LabelY               float64
+}
+
+type tick struct {
+	At    float64
+	Label string
+}
+
+type barGroup struct {
+	Title string
+	Bars  []bar
+}
+
+type bar struct {
+	Name, Label, Colour string
+	Width               float64
+}
+
+// WriteHTML writes the report as one HTML page without references.
+func (r *Report) WriteHTML(w io.Writer) error {
+	page := htmlReport{Report: r, Loop: r.Options.loop(), Width: plotWidth, Height: plotHeight, Margin: plotMargin}
+	low, high := r.latencyRange()
+	for i, p := range r.Policies {
+		page.Curves = append(page.Curves, curve{
+			Name:   p.Name,
+			Points: points(p.Total.histogram, low, high),
+			Colour: plotColours[i%len(plotColours)],
+			LabelY: plotMargin/2 + float64(18*i),
+		})
+	}
+	page.XTicks = tailTicks()
+	page.YTicks = latencyTicks(low, high)
+	page.Bars = r.bars()
+	return reportTemplate.Execute(w, page)
+}
+
+// latencyRange returns the powers of ten that hold all latencies, in
+// milliseconds.
+func (r *Report) latencyRange() (float64, float64) {
+	low, high := 1.0, 10.0
+	for _, p := range r.Policies {
+		low = min(low, p.Total.Latency.P50)
+		high = max(high, p.Total.Latency.Max)
+	}
+	low = math.Pow(10, math.Floor(math.Log10(max(low, 0.001))))
+	return low, math.Pow(10, math.Ceil(math.Log10(high)))
+}
+
+// points draws latency over the tail: x is -log10 of the share above it.
+func points(h *hdrhistogram.Histogram, low, high float64) string {
+	var b strings.Builder
+	for i := range plotSamples + 1 {
+		tail := plotTails * float64(i) / plotSamples
+		quantile := 100 * (1 - math.Pow(10, -tail))
+		fmt.Fprintf(&b, "%.1f,%.1f ", plotX(tail), plotY(quantileMS(h, quantile), low, high))
+	}
+	return b.String()
+}
+
+func plotX(tail float64) float64 { return plotMargin + plotWidth*tail/plotTails }
+
+func plotY(v, low, high float64) float64 {
+	share := math.Log10(max(v, low)/low) / math.Log10(high/low)
+	return plotMargin/2 + plotHeight*(1-share)
+}
+
+func tailTicks() []tick {
+	out := []tick{{plotX(0), "0%"}, {plotX(math.Log10(2)), "50%"}}
+	for tail := 1.0; tail <= plotTails; tail++ {
+		out = append(out, tick{plotX(tail), fmt.Sprintf("%g%%", 100*(1-math.Pow(10, -tail)))})
+	}
+	return out
+}
+
+func latencyTicks(low, high float64) []tick {
+	var out []tick
+	for v := low; v <= high*1.001; v *= 10 {
+		out = append(out, tick{plotY(v, low, high), fmt.Sprintf("%g ms", v)})
+	}
+	return out
+}
+
+func (r *Report) bars() []barGroup {
+	measures := []struct {
+		title string
+		value func(Policy) float64
+	}{
+		{"Coverage of answers", func(p Policy) float64 { return p.Total.Coverage }},
+		{"Whole answers", func(p Policy) float64 { return p.Total.FullShare }},
+		{"Extra load (dispatches above the shards asked for)", func(p Policy) float64 { return p.Load.Extra }},
+	}
+	var out []barGroup
+	for _, m := range measures {
+		g := barGroup{Title: m.title}
+		highest := 1e-9
+		for _, p := range r.Policies {
+			highest = max(highest, m.value(p))
+		}
+		for i, p := range r.Policies {
+			width := plotWidth / 2 * max(0, m.value(p)) / max(highest, 1)
+			g.Bars = append(g.Bars, bar{p.Name, percent(m.value(p)), plotColours[i%len(plotColours)], width})
+		}
+		out = append(out, g)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/options.go
@@ -0,0 +1,135 @@
+// Package load drives a query tier with a seeded workload under a table of
+// faults and measures tail latency, coverage and extra load.
+//
+// An embedded run starts stand-in endpoints, a stand-in platform and hosts in
+// one process, on loopback. What the stand-ins recorded tells whether a promise
+// was broken: a permit that ran twice, a request that ran although its caller
+// was told that it did not, an answer that mixes snapshots, or a coverage that
+// is not what the answer holds.
+//
+// In an open loop, latency counts from the time at which a request was meant to
+// start, so that a slow target cannot hide its delays by slowing the load down.
+package load
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Bounds of a run.
+const (
+	maxDuration    = time.Hour
+	maxRate        = 100_000
+	maxHosts       = 32
+	maxConcurrency = 4096
+	maxScale       = 4
+)
+
+// Options describes a run. Zero fields of the workload take its defaults.
+type Options struct {
+	// Deployment names the workload, see [Deployments].
+	Deployment string `json:"deployment"`
+	// Faults names faults joined by "+", see [FaultNames].
+	Faults string `json:"faults"`
+	Seed   uint64 `json:"seed"`
+	// Warmup runs the workload without faults and is not measured.
+	Warmup   time.Duration `json:"warmup"`
+	Duration time.Duration `json:"duration"`
+	// Rate is the requests a second of an open loop.
+	Rate float64 `json:"rate"`
+	// Concurrency makes a closed loop of so many callers; zero makes an open
+	// loop.
+	Concurrency int `json:"concurrency"`
+	Hosts       int `json:"hosts"`
+	// Scale multiplies the number of services.
+	Scale float64 `json:"scale"`
+	// Baseline also runs the naive policy with the same seed.
+	Baseline bool `json:"baseline"`
+	// Addresses are the caller addresses of running daemons; empty starts
+	// embedded hosts.
+	Addresses []string `json:"addresses,omitempty"`
+	// Service and Caller are used with Addresses.
+	Service string `json:"service,omitempty"`
+	Caller  string `json:"caller,omitempty"`
+}
+
+// Validate fills defaults and checks every option. The error is a *result.Error
+// with code 630 that names the flag.
+func (o *Options) Validate() error {
+	w, ok := workloads[o.Deployment]
+	if !ok {
+		return usage("deployment", "got %q, want one of %s", o.Deployment, strings.Join(Deployments(), ", "))
+	}
+	if o.Rate == 0 {
+		o.Rate = w.rate
+	}
+	if _, err := parseFaults(o.Faults); err != nil {
+		return err
+	}
+	if err := o.validateNumbers(); err != nil {
+		return err
+	}
+	return o.validateAddresses()
+}
+
+func (o *Options) validateNumbers() error {
+	switch {
+	case o.Duration <= 0 || o.Duration > maxDuration:
+		return usage("duration", "got %s, want more than 0 and at most %s", o.Duration, maxDuration)
+	case o.Warmup < 0 || o.Warmup > maxDuration:
+		return usage("warmup", "got %s, want 0 to %s", o.Warmup, maxDuration)
+	case o.Rate <= 0 || o.Rate > maxRate:
+		return usage("rate", "got %g, want more than 0 and at most %d a second", o.Rate, maxRate)
+	case o.Concurrency < 0 || o.Concurrency > maxConcurrency:
+		return usage("concurrency", "got %d, want 0 to %d", o.Concurrency, maxConcurrency)
+	case o.Hosts < 1 || o.Hosts > maxHosts:
+		return usage("hosts", "got %d, want 1 to %d", o.Hosts, maxHosts)
+	case o.Scale <= 0 || o.Scale > maxScale:
+		return usage("scale", "got %g, want more than 0 and at most %d", o.Scale, maxScale)
+	default:
+		return nil
+	}
+}
+
+func (o *Options) validateAddresses() error {
+	if len(o.Addresses) == 0 {
+		return nil
+	}
+	for _, a := range o.Addresses {
+		address, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return usage("address", "%q is not an IP address and port", a)
+		}
+		if !address.Addr().IsLoopback() {
+			return usage("address", "%s is not a loopback address; load is sent to loopback only", a)
+		}
+	}
+	switch {
+	case o.Service == "" || o.Caller == "":
+		return usage("service", "--service and --caller are needed with --address")
+	case o.Faults != "" && o.Faults != faultNone:
+		return usage("faults", "faults need embedded stand-ins and cannot be used with --address")
+	case o.Baseline:
+		return usage("baseline", "the baseline needs embedded stand-ins and cannot be used with --address")
+	default:
+		return nil
+	}
+}
+
+// Deployments returns the names of the workloads.
+func Deployments() []string {
+	names := make([]string, 0, len(workloads))
+	for name := range workloads {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func usage(flag, format string, args ...any) error {
+	return result.FieldErrorf(result.Usage, "--"+flag, format, args...)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,164 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Names of policies in reports.
+const (
+	PolicyGypsumlug = "gypsumlug"
+	PolicyBaseline  = "baseline"
+)
+
+// Report is the result of a load command.
+type Report struct {
+	Options  Options  `json:"options"`
+	Policies []Policy `json:"policies"`
+}
+
+// Policy is what was measured of one policy.
+type Policy struct {
+	Name string `json:"name"`
+	// Seconds is the measured time from the first to the last request.
+	Seconds  float64 `json:"seconds"`
+	Requests int64   `json:"requests"`
+	// NotSent counts requests that the load tool itself could not start.
+	NotSent int64   `json:"not_sent"`
+	Total   Group   `json:"total"`
+	Groups  []Group `json:"groups"`
+	// Codes counts the results of requests.
+	Codes []CodeCount `json:"codes"`
+	// Missing counts the reasons of missing shards.
+	Missing    []CodeCount `json:"missing"`
+	Load       Load        `json:"load"`
+	Violations Violations  `json:"violations"`
+	// Reasons are the hosts' counters of refusals, retries and the like.
+	Reasons []Reason `json:"reasons"`
+}
+
+// Group is what was measured of the services of one shape.
+type Group struct {
+	Name     string `json:"name"`
+	Requests int64  `json:"requests"`
+	// Answered counts complete and partial answers and completed submits.
+	Answered int64 `json:"answered"`
+	// OnTime counts requests that ended within the service's deadline.
+	OnTime  int64   `json:"on_time"`
+	Latency Latency `json:"latency"`
+	// Coverage is the mean covered share of the answers to queries; FullShare is
+	// the share of them that cover everything. Both are 1 without queries.
+	Coverage  float64 `json:"coverage"`
+	FullShare float64 `json:"full_share"`
+
+	histogram *hdrhistogram.Histogram
+	fraction  float64
+	queries   int64
+	full      int64
+}
+
+// Latency holds percentiles in milliseconds of all requests that were not
+// refused.
+type Latency struct {
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// Load compares the dispatches with the shards asked for.
+type Load struct {
+	// Asked counts the shards of all requests that were not refused.
+	Asked int64 `json:"asked"`
+	// Dispatches counts searches and submits that arrived at endpoints; Started
+	// counts those that ran there.
+	Dispatches int64 `json:"dispatches"`
+	Started    int64 `json:"started"`
+	Cancels    int64 `json:"cancels"`
+	// Extra is Dispatches / Asked - 1; ExtraStarted is Started / Asked - 1.
+	Extra        float64 `json:"extra"`
+	ExtraStarted float64 `json:"extra_started"`
+	// Refused counts the endpoints' refusals by code.
+	Refused []CodeCount `json:"refused"`
+	// ConnectionsRefused counts connections above an endpoint's cap.
+	ConnectionsRefused int64 `json:"connections_refused"`
+	HighestConnections int   `json:"highest_connections"`
+	// ProcessorUS is the processor time of the whole process, with callers and
+	// stand-ins, for each shard asked for.
+	ProcessorUS float64 `json:"processor_us_per_shard"`
+}
+
+// CodeCount counts a result code.
+type CodeCount struct {
+	Code  result.Code `json:"code"`
+	Name  string      `json:"name"`
+	Count int64       `json:"count"`
+}
+
+// Reason is a counter of the hosts, summed over all of them.
+type Reason struct {
+	Name  string  `json:"name"`
+	Count float64 `json:"count"`
+}
+
+// policy builds the result of the collector.
+func (c *collector) policy(name string, took time.Duration) Policy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := Policy{Name: name, Seconds: took.Seconds(), Violations: c.violations}
+	out.Codes = codeCounts(c.codes)
+	out.Missing = codeCounts(c.missing)
+	out.Load.Asked = c.asked
+	total := Group{Name: "all", histogram: hdrhistogram.New(histogramLowUS, histogramHighUS, histogramDigits)}
+	for _, n := range c.order {
+		g := c.groups[n].report(n)
+		out.Groups = append(out.Groups, g)
+		total.merge(g)
+	}
+	total.finish()
+	out.Total = total
+	out.Requests = total.Requests
+	return out
+}
+
+func (g *groupStats) report(name string) Group {
+	out := Group{
+		Name: name, Requests: g.requests, Answered: g.answered, OnTime: g.onTime,
+		histogram: g.latency, fraction: g.fraction, queries: g.queries, full: g.full,
+	}
+	out.finish()
+	return out
+}
+
+func (g *Group) merge(other Group) {
+	g.Requests += other.Requests
+	g.Answered += other.Answered
+	g.OnTime += other.OnTime
+	g.fraction += other.fraction
+	g.queries += other.queries
+	g.full += other.full
+	g.histogram.Merge(other.histogram)
+}
+
+func (g *Group) finish() {
+	g.Latency = Latency{
+		P50:  quantileMS(g.histogram, 50),
+		P90:  quantileMS(g.histogram, 90),
+		P99:  quantileMS(g.histogram, 99),
+		P999: quantileMS(g.histogram, 99.9),
+		Max:  float64(g.histogram.Max()) / 1000,
+	}
+	g.Coverage, g.FullShare = 1, 1
+	if g.queries > 0 {
+		g.Coverage = g.fraction / float64(g.queries)
+		g.FullShare = float64(g.full) / float64(g.queries)
+	}
+}
+
+func quantileMS(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,328 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+)
+
+const (
+	// maxOutstanding bounds the requests of an open loop that wait for answers.
+	maxOutstanding = 20_000
+	// answerGrace is how long past a deadline the load tool waits for an answer.
+	answerGrace = 5 * time.Second
+	// settleTime is how long after the last answer stand-ins may still start a
+	// request.
+	settleTime = 500 * time.Millisecond
+	// unknownDeadline is used for daemons whose configuration is not known.
+	unknownDeadline = 10 * time.Second
+	progressEvery   = 250 * time.Millisecond
+)
+
+// Fleet is a set of hosts under load.
+type Fleet struct {
+	Targets []Target
+	// Reasons returns the hosts' counters; it may be nil.
+	Reasons func(context.Context) (map[string]float64, error)
+	Close   func()
+}
+
+// StartFleet starts the hosts of an embedded run.
+type StartFleet func(context.Context, *standin.Deployment, Options) (*Fleet, error)
+
+// Progress is told the policy, the elapsed share of the run and the requests
+// that ended.
+type Progress func(policy string, share float64, requests int64)
+
+// Run measures gypsumlug, started by start, and the baseline if asked for.
+// Options must be valid.
+func Run(ctx context.Context, o Options, start StartFleet, progress Progress) (*Report, error) {
+	report := &Report{Options: o}
+	if len(o.Addresses) > 0 {
+		policy, err := runRemote(ctx, o, progress)
+		report.Policies = append(report.Policies, policy)
+		return report, err
+	}
+	policy, err := runEmbedded(ctx, o, PolicyGypsumlug, start, progress)
+	if err != nil {
+		return nil, err
+	}
+	report.Policies = append(report.Policies, policy)
+	if !o.Baseline {
+		return report, nil
+	}
+	policy, err = runEmbedded(ctx, o, PolicyBaseline, StartBaseline, progress)
+	if err != nil {
+		return nil, err
+	}
+	report.Policies = append(report.Policies, policy)
+	return report, nil
+}
+
+// StartBaseline starts hosts with the naive policy.
+func StartBaseline(_ context.Context, d *standin.Deployment, o Options) (*Fleet, error) {
+	fleet := &Fleet{Close: func() {}}
+	hosts := make([]*Baseline, o.Hosts)
+	for i := range hosts {
+		hosts[i] = NewBaseline(i, o.Seed, d.Bundle)
+		fleet.Targets = append(fleet.Targets, hosts[i])
+	}
+	fleet.Reasons = func(context.Context) (map[string]float64, error) {
+		var retries int64
+		for _, h := range hosts {
+			retries += h.Retries()
+		}
+		return map[string]float64{"retries": float64(retries)}, nil
+	}
+	return fleet, nil
+}
+
+// runRemote drives daemons that run already.
+func runRemote(ctx context.Context, o Options, progress Progress) (Policy, error) {
+	fleet := &Fleet{Close: func() {}}
+	for _, address := range o.Addresses {
+		fleet.Targets = append(fleet.Targets, NewHTTPTarget(address))
+	}
+	r := &run{options: o, policy: PolicyGypsumlug, fleet: fleet, progress: progress}
+	return r.measure(ctx)
+}
+
+// runEmbedded starts the stand-ins and a fleet and measures it.
+func runEmbedded(ctx context.Context, o Options, policy string, start StartFleet, progress Progress) (Policy, error) {
+	deployment, err := standin.NewDeployment(workloads[o.Deployment].deploymentOptions(o))
+	if err != nil {
+		return Policy{}, err
+	}
+	defer deployment.Close()
+	fleet, err := start(ctx, deployment, o)
+	if err != nil {
+		return Policy{}, err
+	}
+	defer fleet.Close()
+	r := &run{options: o, policy: policy, fleet: fleet, deployment: deployment, progress: progress}
+	return r.measure(ctx)
+}
+
+// run is one policy under load.
+type run struct {
+	options    Options
+	policy     string
+	fleet      *Fleet
+	deployment *standin.Deployment
+	progress   Progress
+	collector  *collector
+	ended      atomic.Int64
+	notSent    atomic.Int64
+}
+
+// measure warms the fleet up, runs the workload under faults and builds the
+// result.
+func (r *run) measure(ctx context.Context) (Policy, error) {
+	faults, err := parseFaults(r.options.Faults)
+	if err != nil {
+		return Policy{}, err
+	}
+	r.collector = newCollector()
+	r.drive(ctx, newPlanner(r.options, "warm", 1, false), r.options.Warmup)
+	time.Sleep(settleTime)
+	r.collector = newCollector()
+	before := r.readCounters(ctx)
+	stop := r.startSteps(ctx, faults)
+	began := time.Now()
+	r.drive(ctx, newPlanner(r.options, "measured", 2, hasCrashing(faults)), r.options.Duration)
+	took := time.Since(began)
+	if err := stop(); err != nil {
+		return Policy{}, err
+	}
+	time.Sleep(settleTime)
+	if r.deployment != nil {
+		r.collector.settle(r.deployment.Recorder)
+	}
+	out := r.collector.policy(r.policy, took)
+	out.NotSent = r.notSent.Load()
+	r.readCounters(ctx).subtract(before).fill(&out)
+	return out, ctx.Err()
+}
+
+// startSteps applies the steps of faults at their times. The returned function
+// stops it and gives the first error.
+func (r *run) startSteps(ctx context.Context, all []fault) func() error {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- r.applySteps(ctx, mergeSteps(all)) }()
+	return func() error {
+		cancel()
+		return <-done
+	}
+}
+
+func (r *run) applySteps(ctx context.Context, steps []step) error {
+	began := time.Now()
+	for _, s := range steps {
+		pause(ctx, time.Duration(s.at*float64(r.options.Duration))-time.Since(began))
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err := s.apply(r.deployment); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drive runs the jobs of a planner for a time and waits for all answers.
+func (r *run) drive(ctx context.Context, p *planner, d time.Duration) {
+	stop := r.showProgress(d)
+	defer stop()
+	if r.options.Concurrency > 0 {
+		r.closedLoop(ctx, p, d)
+		return
+	}
+	r.openLoop(ctx, p, d)
+}
+
+// openLoop starts each job at its planned time, whatever became of the others.
+func (r *run) openLoop(ctx context.Context, p *planner, d time.Duration) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	slots := make(chan struct{}, maxOutstanding)
+	began := time.Now()
+	for j := p.nextJob(); j.at < d && ctx.Err() == nil; j = p.nextJob() {
+		pause(ctx, j.at-time.Since(began))
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.notSent.Add(1)
+			continue
+		}
+		group.Go(func() {
+			r.execute(ctx, j, began.Add(j.at))
+			<-slots
+		})
+	}
+}
+
+// closedLoop keeps a fixed number of callers busy.
+func (r *run) closedLoop(ctx context.Context, p *planner, d time.Duration) {
+	var mu sync.Mutex
+	next := func() job {
+		mu.Lock()
+		defer mu.Unlock()
+		return p.nextJob()
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	end := time.Now().Add(d)
+	for range r.options.Concurrency {
+		group.Go(func() {
+			for time.Now().Before(end) && ctx.Err() == nil {
+				r.execute(ctx, next(), time.Now())
+			}
+		})
+	}
+}
+
+// execute runs one job; intended is when it was meant to start.
+func (r *run) execute(ctx context.Context, j job, intended time.Time) {
+	deadline, shards := r.expectation(j)
+	ctx, cancel := context.WithTimeout(ctx, deadline+answerGrace)
+	defer cancel()
+	defer r.ended.Add(1)
+	if j.submit {
+		r.executeSubmit(ctx, j, intended, deadline)
+		return
+	}
+	target := r.fleet.Targets[j.number%len(r.fleet.Targets)]
+	id := requestID(j)
+	answer, err := target.Query(ctx, &api.QueryRequest{RequestID: id, Service: j.service, Caller: j.caller, Query: j.body})
+	took := time.Since(intended)
+	if err != nil {
+		answer = nil
+	}
+	if answer != nil && answer.RequestID != id {
+		r.collector.wrongAnswer()
+	}
+	if answer != nil && shards == 0 {
+		shards = answer.Coverage.Shards
+	}
+	r.collector.query(j, answer, took, deadline, shards)
+}
+
+func (r *run) executeSubmit(ctx context.Context, j job, intended time.Time, deadline time.Duration) {
+	target := r.fleet.Targets[j.number%len(r.fleet.Targets)]
+	permits, err := target.Permit(ctx, &api.PermitRequest{RequestID: requestID(j), Service: j.service, Caller: j.caller})
+	if err != nil || len(permits.Permits) == 0 {
+		r.collector.submit(j, "", noPermit(permits, err), time.Since(intended), deadline)
+		return
+	}
+	permit := permits.Permits[0]
+	submit := &api.SubmitRequest{
+		RequestID: requestID(j), Service: j.service, Caller: j.caller,
+		Permit: permit, Body: j.body, Key: j.key,
+	}
+	answer, err := target.Submit(ctx, submit)
+	if err != nil {
+		answer = nil
+	}
+	r.collector.submit(j, permit, answer, time.Since(intended), deadline)
+	if j.repeat || answer == nil || answer.Code.Class() == result.ClassUnknown {
+		r.repeatSubmit(ctx, j, submit)
+	}
+}
+
+// repeatSubmit sends a submit again through another host.
+func (r *run) repeatSubmit(ctx context.Context, j job, submit *api.SubmitRequest) {
+	target := r.fleet.Targets[(j.number+1)%len(r.fleet.Targets)]
+	answer, err := target.Submit(ctx, submit)
+	if err != nil {
+		answer = nil
+	}
+	r.collector.repeated(j, submit.Permit, answer)
+}
+
+func noPermit(answer *api.PermitAnswer, err error) *api.SubmitAnswer {
+	if err != nil {
+		return nil
+	}
+	return &api.SubmitAnswer{Code: answer.Code}
+}
+
+// expectation returns the deadline and the number of shards of a job's service.
+func (r *run) expectation(j job) (time.Duration, int) {
+	if r.deployment == nil {
+		return unknownDeadline, 0
+	}
+	bundle := r.deployment.Bundle()
+	return bundle.Service(j.service).Deadline(), len(newestShards(bundle.Index(j.service)))
+}
+
+func newestShards(index *config.Index) []config.Shard {
+	return index.Snapshots[len(index.Snapshots)-1].Shards
+}
+
+func (r *run) showProgress(d time.Duration) func() {
+	if r.progress == nil || d <= 0 {
+		return func() {}
+	}
+	done := make(chan struct{})
+	began := time.Now()
+	go func() {
+		ticker := time.NewTicker(progressEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				r.progress(r.policy, min(1, time.Since(began).Seconds()/d.Seconds()), r.ended.Load())
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
--- /dev/null
+++ b/internal/load/verify.go
@@ -0,0 +1,96 @@
+package load
+
+import (
+	"slices"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+)
+
+// Violations counts broken promises.
+type Violations struct {
+	// AtMostOnce counts permits that ran more than once.
+	AtMostOnce int `json:"at_most_once"`
+	// MixedSnapshots counts answers with a hit that is not from the snapshot
+	// that the answer names.
+	MixedSnapshots int `json:"mixed_snapshots"`
+	// UntrueCoverage counts answers that lack documents of ranges they call
+	// covered, or hold documents of ranges they call missing.
+	UntrueCoverage int `json:"untrue_coverage"`
+	// RepeatedDocuments counts answers that list a document twice.
+	RepeatedDocuments int `json:"repeated_documents"`
+	// UntrueNotRun counts requests that ran although their caller was told that
+	// they did not.
+	UntrueNotRun int `json:"untrue_not_run"`
+	// UntrueDone counts submits that did not run although their caller was told
+	// that they did, or whose outcome is another request's.
+	UntrueDone int `json:"untrue_done"`
+	// WrongAnswer counts answers that carry another request's ID.
+	WrongAnswer int `json:"wrong_answer"`
+}
+
+// Total returns the number of all violations.
+func (v Violations) Total() int {
+	return v.AtMostOnce + v.MixedSnapshots + v.UntrueCoverage + v.RepeatedDocuments + v.UntrueNotRun + v.UntrueDone + v.WrongAnswer
+}
+
+// checkAnswer adds what is untrue in an answer to a query of the stand-ins.
+func (v *Violations) checkAnswer(service, query string, answer *api.QueryAnswer) {
+	covered := coveredRanges(answer)
+	expected := expectedHits(service, query, answer.Snapshot)
+	seen := make(map[string]bool, len(answer.Hits))
+	var mixed, repeated, outside bool
+	for _, hit := range answer.Hits {
+		mixed = mixed || expected[hit.Document] != hit
+		repeated = repeated || seen[hit.Document]
+		outside = outside || !contains(covered, hit.Key)
+		seen[hit.Document] = true
+	}
+	lacking := answer.Code != result.Truncated && lacksCovered(expected, covered, seen)
+	fraction := float64(keyrange.Size(covered)) / float64(keyrange.End)
+	v.MixedSnapshots += count(mixed)
+	v.RepeatedDocuments += count(repeated)
+	v.UntrueCoverage += count(outside || lacking || !near(fraction, answer.Coverage.Fraction))
+}
+
+func expectedHits(service, query string, snapshot uint64) map[string]dispatch.Hit {
+	hits, _ := standin.ExpectedHits(service, snapshot, keyrange.All(), query, 0)
+	out := make(map[string]dispatch.Hit, len(hits))
+	for _, h := range hits {
+		out[h.Document] = h
+	}
+	return out
+}
+
+func coveredRanges(answer *api.QueryAnswer) []keyrange.Range {
+	missing := make([]keyrange.Range, 0, len(answer.Coverage.Missing))
+	for _, m := range answer.Coverage.Missing {
+		missing = append(missing, m.Range)
+	}
+	return keyrange.Subtract([]keyrange.Range{keyrange.All()}, missing)
+}
+
+func lacksCovered(expected map[string]dispatch.Hit, covered []keyrange.Range, seen map[string]bool) bool {
+	for document, hit := range expected {
+		if !seen[document] && contains(covered, hit.Key) {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(ranges []keyrange.Range, key keyrange.Key) bool {
+	return slices.ContainsFunc(ranges, func(r keyrange.Range) bool { return r.Contains(key) })
+}
+
+func near(a, b float64) bool { return a-b < 1e-6 && b-a < 1e-6 }
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -33,6 +33,7 @@
 	services  []*deployedService
 	endpoints map[string]*Endpoint
 	revision  config.Revision
+	bundle    *config.Bundle
 }
 
 type deployedService struct {
@@ -254,9 +255,11 @@
 	if err != nil {
 		return err
 	}
-	if _, err := config.NewBundle(data, documents); err != nil {
+	bundle, err := config.NewBundle(data, documents)
+	if err != nil {
 		return err
 	}
+	d.bundle = bundle
 	return d.Platform.Publish(data, documents)
 }
 
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -75,6 +75,22 @@
 	InFlight int
 }
 
+func (c *Counts) add(other Counts) {
+	c.Requests += other.Requests
+	c.Ran += other.Ran
+	c.Cancels += other.Cancels
+	c.ConnectionsRefused += other.ConnectionsRefused
+	c.InFlight += other.InFlight
+	c.Connections += other.Connections
+	c.HighestConnections = max(c.HighestConnections, other.HighestConnections)
+	if c.Refused == nil {
+		c.Refused = make(map[result.Code]int64)
+	}
+	for code, n := range other.Refused {
+		c.Refused[code] += n
+	}
+}
+
 // Endpoint is an HTTP server of the endpoint protocol.
 type Endpoint struct {
 	options EndpointOptions
