Add the load and standin commands

gypsumlug load measures a named workload under faults; gypsumlug standin starts a platform and endpoints on loopback, for a workload or for a generated configuration whose endpoints have loopback addresses.

--- /dev/null
+++ b/cmd/gypsumlug/load.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gypsumlug/gypsumlug/internal/load"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+type loadCmd struct {
+	Deployment  string        `help:"Workload: muscat, ferrando or fanout." default:"fanout"`
+	Faults      string        `help:"Faults joined by +, for example stragglers+shedding. A wrong name lists all." default:"none"`
+	Seed        uint64        `help:"Seed of the workload and of the stand-ins." default:"1"`
+	Warmup      time.Duration `help:"Time before measuring, without faults." default:"2s"`
+	Duration    time.Duration `help:"Measured time." default:"10s"`
+	Rate        float64       `help:"Requests a second of the open loop; 0 takes the workload's." default:"0"`
+	Concurrency int           `help:"Closed loop of so many callers in place of the open loop." default:"0"`
+	Hosts       int           `help:"Number of entry hosts to start." default:"3"`
+	Scale       float64       `help:"Factor on the number of services." default:"1"`
+	Baseline    bool          `help:"Also run the naive policy with the same seed."`
+	Address     []string      `help:"Caller addresses (loopback IP and port) of running daemons, in place of embedded ones."`
+	Service     string        `help:"Service to query, with --address."`
+	Caller      string        `help:"Caller name, with --address."`
+	Report      string        `help:"Also write an HTML report to this file." type:"path"`
+}
+
+// Run measures and prints the result. It fails if a promise was broken.
+func (c *loadCmd) Run(env *environment) error {
+	options := c.options()
+	if err := options.Validate(); err != nil {
+		return err
+	}
+	report, err := load.Run(env.ctx, options, load.StartHosts, env.progress())
+	if err != nil {
+		return err
+	}
+	if err := c.write(env, report); err != nil {
+		return err
+	}
+	return report.Check()
+}
+
+func (c *loadCmd) options() load.Options {
+	return load.Options{
+		Deployment: c.Deployment, Faults: c.Faults, Seed: c.Seed, Warmup: c.Warmup, Duration: c.Duration,
+		Rate: c.Rate, Concurrency: c.Concurrency, Hosts: c.Hosts, Scale: c.Scale, Baseline: c.Baseline,
+		Addresses: c.Address, Service: c.Service, Caller: c.Caller,
+	}
+}
+
+func (c *loadCmd) write(env *environment, report *load.Report) error {
+	if c.Report != "" {
+		if err := writeHTML(c.Report, report); err != nil {
+			return err
+		}
+	}
+	if env.output == outputJSON {
+		return report.WriteJSON(env.stdout)
+	}
+	return report.WriteText(env.stdout)
+}
+
+func writeHTML(path string, report *load.Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return result.FieldErrorf(result.Usage, "--report", "%v", err)
+	}
+	if err := report.WriteHTML(file); err != nil {
+		_ = file.Close()
+		return eris.Wrap(err, "report cannot be written")
+	}
+	return eris.Wrap(file.Close(), "report cannot be written")
+}
+
+// progress returns a line that is drawn again and again on a terminal, or nil.
+func (e *environment) progress() load.Progress {
+	file, ok := e.stderr.(*os.File)
+	if !ok {
+		return nil
+	}
+	info, err := file.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(policy string, share float64, requests int64) {
+		_, _ = fmt.Fprintf(file, "\r%-10s %3.0f%% %8d requests", policy, 100*share, requests)
+		if share >= 1 {
+			_, _ = fmt.Fprintln(file)
+		}
+	}
+}
--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -19,6 +19,8 @@
 
 	Query   queryCmd   `cmd:"" help:"Query a service."`
 	Submit  submitCmd  `cmd:"" help:"Run a request at most once, under a permit."`
+	Load    loadCmd    `cmd:"" help:"Measure latency, coverage and extra load under faults, on loopback."`
+	Standin standinCmd `cmd:"" help:"Start a platform and endpoints on loopback, for experiments."`
 	Codes   codesCmd   `cmd:"" help:"List the result codes."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/cmd/gypsumlug/standin.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/load"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+)
+
+type standinCmd struct {
+	Configuration string        `help:"Directory with manifest.json and its documents, as generate writes them. Endpoints take the addresses that it gives them." type:"existingdir" xor:"what"`
+	Deployment    string        `help:"Workload of the load command to start, without --configuration." default:"fanout" xor:"what"`
+	Scale         float64       `help:"Factor on the number of services of the workload." default:"1"`
+	Platform      string        `help:"IP and port of the platform; with --configuration only." default:"127.0.0.1:0"`
+	ServiceTime   time.Duration `help:"Mean time of a request at an endpoint; with --configuration only." default:"2ms"`
+	Seed          uint64        `help:"Seed of the endpoints." default:"1"`
+}
+
+// standinReport tells where the stand-ins listen.
+type standinReport struct {
+	Platform  string            `json:"platform"`
+	Endpoints []endpointAddress `json:"endpoints"`
+}
+
+type endpointAddress struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+// Run starts the stand-ins, prints their addresses and waits for an interrupt.
+func (c *standinCmd) Run(env *environment) error {
+	platform, endpoints, stop, err := c.start()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	report := standinReport{Platform: platform.Address()}
+	for _, e := range endpoints {
+		report.Endpoints = append(report.Endpoints, endpointAddress{ID: e.ID(), Address: e.Address()})
+	}
+	err = env.print(report, func(t table.Writer) {
+		t.AppendRow(table.Row{"platform", report.Platform})
+		for _, e := range report.Endpoints {
+			t.AppendRow(table.Row{e.ID, e.Address})
+		}
+	})
+	if err != nil {
+		return err
+	}
+	<-env.ctx.Done()
+	return nil
+}
+
+func (c *standinCmd) start() (*standin.Platform, []*standin.Endpoint, func(), error) {
+	if c.Configuration == "" {
+		d, err := load.StartDeployment(load.Options{Deployment: c.Deployment, Scale: c.Scale, Seed: c.Seed})
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		return d.Platform, d.Endpoints(), d.Close, nil
+	}
+	manifest, documents, err := readConfiguration(c.Configuration)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	configured, err := standin.NewConfigured(standin.ConfiguredOptions{
+		Manifest: manifest, Documents: documents, PlatformAddress: c.Platform, ServiceTime: c.ServiceTime, Seed: c.Seed,
+	})
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return configured.Platform, configured.Endpoints, configured.Close, nil
+}
+
+const manifestFile = "manifest.json"
+
+// readConfiguration reads the manifest and, by their hash, all other files.
+func readConfiguration(dir string) ([]byte, map[string][]byte, error) {
+	manifest, err := os.ReadFile(filepath.Join(dir, manifestFile))
+	if err != nil {
+		return nil, nil, result.Errorf(result.Unreachable, "%v", err)
+	}
+	documents := make(map[string][]byte)
+	err = filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || entry.Name() == manifestFile {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		documents[config.Hash(data)] = data
+		return err
+	})
+	if err != nil {
+		return nil, nil, result.Errorf(result.Unreachable, "%v", err)
+	}
+	return manifest, documents, nil
+}
--- a/internal/load/baseline.go
+++ b/internal/load/baseline.go
@@ -15,10 +15,10 @@
 
 	"github.com/gypsumlug/gypsumlug/api"
 	"github.com/gypsumlug/gypsumlug/internal/config"
-	"github.com/gypsumlug/gypsumlug/internal/standin"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
 )
 
 // baselineRetryPause keeps unlimited retries from occupying a processor.
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -24,7 +24,7 @@
 	// service share one body.
 	crashing bool
 	body     string
-	key    keyrange.Key
+	key      keyrange.Key
 }
 
 // repeatOneIn is the share of submits that are repeated.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -83,6 +83,15 @@
 	return fleet, nil
 }
 
+// StartDeployment starts the stand-ins of a workload.
+func StartDeployment(o Options) (*standin.Deployment, error) {
+	o.Hosts, o.Duration = 1, time.Second
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	return standin.NewDeployment(workloads[o.Deployment].deploymentOptions(o))
+}
+
 // runRemote drives daemons that run already.
 func runRemote(ctx context.Context, o Options, progress Progress) (Policy, error) {
 	fleet := &Fleet{Close: func() {}}
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -7,7 +7,6 @@
 	"strings"
 
 	"github.com/jedib0t/go-pretty/v6/table"
-
 )
 
 // WriteJSON writes the report as one JSON object.
@@ -115,4 +114,3 @@
 
 func ms(v float64) string      { return fmt.Sprintf("%.1f", v) }
 func percent(v float64) string { return fmt.Sprintf("%.2f%%", 100*v) }
-
--- /dev/null
+++ b/internal/standin/configured.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// ConfiguredOptions describes stand-ins for a configuration that exists already.
+type ConfiguredOptions struct {
+	Manifest []byte
+	// Documents maps a hash to the document's bytes.
+	Documents map[string][]byte
+	// PlatformAddress is where the platform listens; empty means a free port.
+	PlatformAddress string
+	ServiceTime     time.Duration
+	Seed            uint64
+}
+
+// Configured is a platform that publishes a given configuration and the
+// endpoints that it names, at the addresses that it gives them.
+type Configured struct {
+	Platform  *Platform
+	Recorder  *Recorder
+	Endpoints []*Endpoint
+}
+
+// NewConfigured starts the platform and all endpoints. Every endpoint must have
+// a loopback address.
+func NewConfigured(options ConfiguredOptions) (*Configured, error) {
+	bundle, err := config.NewBundle(options.Manifest, options.Documents)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkLoopback(bundle); err != nil {
+		return nil, err
+	}
+	c := &Configured{Platform: NewPlatform(), Recorder: NewRecorder()}
+	if err := c.start(options, bundle); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Close stops the platform and all endpoints.
+func (c *Configured) Close() {
+	c.Platform.Close()
+	for _, e := range c.Endpoints {
+		e.Close()
+	}
+}
+
+func (c *Configured) start(options ConfiguredOptions, bundle *config.Bundle) error {
+	address := options.PlatformAddress
+	if address == "" {
+		address = loopbackAny
+	}
+	if err := c.Platform.StartAt(address); err != nil {
+		return err
+	}
+	for name := range bundle.Services() {
+		if err := c.startIndex(options, bundle.Index(name)); err != nil {
+			return err
+		}
+	}
+	return c.Platform.Publish(options.Manifest, options.Documents)
+}
+
+func (c *Configured) startIndex(options ConfiguredOptions, index *config.Index) error {
+	for _, endpoint := range index.Endpoints {
+		e := NewEndpoint(EndpointOptions{
+			ID:             endpoint.ID,
+			Service:        index.Service,
+			Address:        endpoint.Address,
+			Slots:          endpoint.Slots,
+			SlotWait:       defaultSlotWait,
+			MaxConnections: endpoint.MaxConnections,
+			ConnectCost:    time.Duration(endpoint.ConnectCostMS) * time.Millisecond,
+			ServiceTime:    options.ServiceTime,
+			Seed:           mix(options.Seed, uint64(len(c.Endpoints))),
+			Held:           heldBy(index, endpoint.ID),
+			Recorder:       c.Recorder,
+		})
+		if err := e.Start(); err != nil {
+			return err
+		}
+		c.Endpoints = append(c.Endpoints, e)
+	}
+	return nil
+}
+
+// heldBy returns what the index says that an endpoint holds.
+func heldBy(index *config.Index, endpointID string) []Held {
+	var held []Held
+	for _, snapshot := range index.Snapshots {
+		held = append(held, Held{Snapshot: snapshot.ID, Ranges: rangesOf(snapshot, endpointID)})
+	}
+	return held
+}
+
+func checkLoopback(bundle *config.Bundle) error {
+	for id, endpoint := range bundle.Endpoints() {
+		address, err := netip.ParseAddrPort(endpoint.Address)
+		if err != nil || !address.Addr().IsLoopback() {
+			return result.FieldErrorf(result.DocumentInvalid, id+".address", "%q is not a loopback IP and port", endpoint.Address)
+		}
+	}
+	return nil
+}
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -279,11 +279,7 @@
 // assign gives each endpoint the ranges that the index says it holds.
 func (s *deployedService) assign() {
 	for _, e := range s.endpoints {
-		var held []Held
-		for _, snapshot := range s.index.Snapshots {
-			held = append(held, Held{Snapshot: snapshot.ID, Ranges: rangesOf(snapshot, e.ID())})
-		}
-		e.SetHeld(held)
+		e.SetHeld(heldBy(s.index, e.ID()))
 	}
 }
 
