--- a/api/api.go
+++ b/api/api.go
@@ -80,7 +80,8 @@
 	// Revision is the configuration that the query ran under.
 	Revision uint64   `json:"revision,omitempty"`
 	Coverage Coverage `json:"coverage"`
-	// Truncated tells that a bound cut the hits, whatever the code is.
+	// Truncated tells that documents were cut by the caller's limit or by the
+	// service's bound; only the latter makes an answer partial.
 	Truncated bool  `json:"truncated,omitempty"`
 	Hits      []Hit `json:"hits"`
 }
