--- a/internal/load/baseline.go
+++ b/internal/load/baseline.go
@@ -43,8 +43,8 @@
 	return &Baseline{
 		bundle: bundle,
 		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: callerIdleConnections,
-			IdleConnTimeout:     callerIdleConnectionsS,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
 		}},
 		prefix: "b" + strconv.Itoa(host) + "-",
 		random: rand.New(rand.NewPCG(seed, uint64(host))),
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -96,7 +96,11 @@
 func runRemote(ctx context.Context, o Options, progress Progress) (Policy, error) {
 	fleet := &Fleet{Close: func() {}}
 	for _, address := range o.Addresses {
-		fleet.Targets = append(fleet.Targets, NewHTTPTarget(address))
+		target, err := newHostTarget(address)
+		if err != nil {
+			return Policy{}, err
+		}
+		fleet.Targets = append(fleet.Targets, target)
 	}
 	r := &run{options: o, policy: PolicyGypsumlug, fleet: fleet, progress: progress}
 	return r.measure(ctx)
@@ -254,7 +258,7 @@
 	if err != nil {
 		answer = nil
 	}
-	if answer != nil && answer.RequestID != id {
+	if answer != nil && isAnswer(answer.Code) && answer.RequestID != id {
 		r.collector.wrongAnswer()
 	}
 	if answer != nil && shards == 0 {
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -1,22 +1,17 @@
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/client"
 )
 
 const (
-	maxAnswerBytes         = 64 << 20
-	callerIdleConnections  = 1024
-	callerIdleConnectionsS = 90 * time.Second
+	callerConnections = 4096
+	idleConnections   = 1024
+	idleTimeout       = 90 * time.Second
 )
 
 // Target takes a caller's requests. An error means that no answer arrived.
@@ -26,58 +21,26 @@
 	Submit(context.Context, *api.SubmitRequest) (*api.SubmitAnswer, error)
 }
 
-// HTTPTarget is a running daemon.
-type HTTPTarget struct {
-	base   string
-	client *http.Client
-}
-
-// NewHTTPTarget returns the target at an IP address and port.
-func NewHTTPTarget(address string) *HTTPTarget {
-	transport := &http.Transport{
-		MaxIdleConns:        callerIdleConnections,
-		MaxIdleConnsPerHost: callerIdleConnections,
-		IdleConnTimeout:     callerIdleConnectionsS,
-	}
-	return &HTTPTarget{base: "http://" + address, client: &http.Client{Transport: transport}}
-}
+// hostTarget is a running daemon, called by the public client. The client's
+// error repeats the code of the answer, so that it is not needed.
+type hostTarget struct{ client *client.Client }
 
-// Query sends a query.
-func (t *HTTPTarget) Query(ctx context.Context, r *api.QueryRequest) (*api.QueryAnswer, error) {
-	answer := &api.QueryAnswer{}
-	return answer, t.call(ctx, api.PathQuery, r, answer)
+func newHostTarget(address string) (hostTarget, error) {
+	c, err := client.New([]string{address}, client.Options{ConnectionsPerHost: callerConnections})
+	return hostTarget{c}, err
 }
 
-// Permit asks for permits.
-func (t *HTTPTarget) Permit(ctx context.Context, r *api.PermitRequest) (*api.PermitAnswer, error) {
-	answer := &api.PermitAnswer{}
-	return answer, t.call(ctx, api.PathPermit, r, answer)
+func (t hostTarget) Query(ctx context.Context, r *api.QueryRequest) (*api.QueryAnswer, error) {
+	answer, _ := t.client.Query(ctx, *r)
+	return &answer, nil
 }
 
-// Submit sends a request that may not be repeated.
-func (t *HTTPTarget) Submit(ctx context.Context, r *api.SubmitRequest) (*api.SubmitAnswer, error) {
-	answer := &api.SubmitAnswer{}
-	return answer, t.call(ctx, api.PathSubmit, r, answer)
+func (t hostTarget) Permit(ctx context.Context, r *api.PermitRequest) (*api.PermitAnswer, error) {
+	answer, _ := t.client.RequestPermit(ctx, *r)
+	return &answer, nil
 }
 
-func (t *HTTPTarget) call(ctx context.Context, path string, request, answer any) error {
-	data, err := json.Marshal(request)
-	if err != nil {
-		return eris.Wrap(err, "request cannot be encoded")
-	}
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, t.base+path, bytes.NewReader(data))
-	if err != nil {
-		return eris.Wrap(err, "request cannot be made")
-	}
-	httpRequest.Header.Set("Content-Type", "application/json")
-	response, err := t.client.Do(httpRequest)
-	if err != nil {
-		return eris.Wrap(err, "no answer")
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return eris.Wrap(err, "answer cut short")
-	}
-	return eris.Wrap(json.Unmarshal(body, answer), "answer cannot be decoded")
+func (t hostTarget) Submit(ctx context.Context, r *api.SubmitRequest) (*api.SubmitAnswer, error) {
+	answer, _ := t.client.Submit(ctx, *r)
+	return &answer, nil
 }
