--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -17,12 +17,13 @@
 type cli struct {
 	Output outputFormat `help:"Format of the output: table or json." enum:"table,json" default:"table" short:"o"`
 
-	Query   queryCmd   `cmd:"" help:"Query a service."`
-	Submit  submitCmd  `cmd:"" help:"Run a request at most once, under a permit."`
-	Load    loadCmd    `cmd:"" help:"Measure latency, coverage and extra load under faults, on loopback."`
-	Standin standinCmd `cmd:"" help:"Start a platform and endpoints on loopback, for experiments."`
-	Codes   codesCmd   `cmd:"" help:"List the result codes."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Query    queryCmd    `cmd:"" help:"Query a service."`
+	Submit   submitCmd   `cmd:"" help:"Run a request at most once, under a permit."`
+	Load     loadCmd     `cmd:"" help:"Measure latency, coverage and extra load under faults, on loopback."`
+	Standin  standinCmd  `cmd:"" help:"Start a platform and endpoints on loopback, for experiments."`
+	Capacity capacityCmd `cmd:"" help:"Work out what each role of a host needs at a size, from measured slopes."`
+	Codes    codesCmd    `cmd:"" help:"List the result codes."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 const description = `Query services, submit requests that may run only once, and work on the questionnaire.
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,51 @@
+package capacity
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func row(rows []Row, quantity string) Row {
+	for _, r := range rows {
+		if r.Quantity == quantity {
+			return r
+		}
+	}
+	return Row{}
+}
+
+func TestParseSlopesTakesMediansOfEachUnit(t *testing.T) {
+	g := NewWithT(t)
+	slopes, err := ParseSlopes(`goos: linux
+BenchmarkSlopeHost/direct-10   100   5 ns/op   30.0 cpu-us/subrequest
+BenchmarkSlopeHost/direct-10   100   5 ns/op   10.0 cpu-us/subrequest
+BenchmarkSlopeHost/direct-10   100   5 ns/op   20.0 cpu-us/subrequest
+PASS`)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(slopes).To(Equal(Slopes{
+		{Benchmark: "SlopeHost/direct", Unit: "ns/op", Value: 5},
+		{Benchmark: "SlopeHost/direct", Unit: "cpu-us/subrequest", Value: 20},
+	}))
+	for _, bad := range []string{"", "PASS", "BenchmarkA-4 1 x ns/op"} {
+		_, err := ParseSlopes(bad)
+		g.Expect(err).To(HaveOccurred())
+	}
+}
+
+func TestTableScalesSlopesToTheDesignSize(t *testing.T) {
+	g := NewWithT(t)
+	slopes := Slopes{
+		{Benchmark: "SlopeHost/direct", Unit: "cpu-us/subrequest", Value: 20},
+		{Benchmark: "Fleet/hosts=570", Unit: "platform-calls/s", Value: 3},
+	}
+	rows := Table(DesignSizes(), slopes)
+	g.Expect(row(rows, "sub-requests").Value).To(BeNumerically("~", 23157.9, 0.1))
+	g.Expect(row(rows, "connections to one endpoint, at most").Value).To(Equal(25.0))
+	g.Expect(row(rows, "relays of one query").Value).To(BeNumerically("~", 68.3, 0.1))
+	direct := row(rows, "processor, coordinator with its own dispatches")
+	g.Expect(direct.Value).To(BeNumerically("~", 0.463, 0.001))
+	g.Expect(direct.Basis).To(Equal(Extrapolated))
+	g.Expect(row(rows, "calls").Basis).To(Equal(Measured))
+	g.Expect(row(rows, "memory of permits").Basis).To(Equal(Unmeasured))
+}
--- /dev/null
+++ b/internal/capacity/markdown.go
@@ -0,0 +1,34 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"strings"
+)
+
+// Text formats the value with three significant digits, or a dash if it was not
+// measured.
+func (r Row) Text() string {
+	switch magnitude := math.Abs(r.Value); {
+	case r.Basis == Unmeasured:
+		return "-"
+	case magnitude >= 100 || magnitude == 0:
+		return fmt.Sprintf("%.0f", r.Value)
+	case magnitude >= 10:
+		return fmt.Sprintf("%.1f", r.Value)
+	default:
+		return fmt.Sprintf("%.3g", r.Value)
+	}
+}
+
+// Markdown formats rows as a table for docs/CAPACITY.md.
+func Markdown(rows []Row) string {
+	var b strings.Builder
+	b.WriteString("| role | quantity | value | basis | worked out from | carried by |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range rows {
+		value := strings.TrimSpace(r.Text() + " " + r.Unit)
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s |\n", r.Role, r.Quantity, value, r.Basis, r.Working, r.Mechanism)
+	}
+	return b.String()
+}
--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -13,7 +13,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/gypsumlug/gypsumlug/client"
 	"github.com/gypsumlug/gypsumlug/internal/daemon"
 	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -38,33 +37,58 @@
 	admin   []string
 }
 
+// HostOptions describe embedded hosts.
+type HostOptions struct {
+	// Platform is the IP and port of the platform.
+	Platform string
+	// DataCentres are given to the hosts in turn.
+	DataCentres []string
+	Hosts       int
+	// List makes the platform list the hosts before they start.
+	List func([]platformapi.HostEntry)
+}
+
 // StartHosts starts daemons on loopback that read the deployment's platform, and
 // waits until all are ready.
 func StartHosts(ctx context.Context, d *standin.Deployment, o Options) (*Fleet, error) {
-	all, err := hostSettings(d, o)
+	return StartHostsAt(ctx, HostOptions{
+		Platform:    d.Platform.Address(),
+		DataCentres: workloads[o.Deployment].dataCentres,
+		Hosts:       o.Hosts,
+		List:        d.Platform.SetHosts,
+	})
+}
+
+// StartHostsAt starts daemons on loopback that read any platform, and waits until
+// all are ready.
+func StartHostsAt(ctx context.Context, o HostOptions) (*Fleet, error) {
+	all, err := o.settings()
 	if err != nil {
 		return nil, err
 	}
-	listHosts(d, all)
+	o.List(hostEntries(all))
 	h := &hosts{}
+	fleet, err := h.startAll(ctx, all)
+	if err != nil {
+		h.stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (h *hosts) startAll(ctx context.Context, all []settings.Settings) (*Fleet, error) {
 	fleet := &Fleet{Close: h.stop, Reasons: h.reasons}
 	for _, s := range all {
 		if err := h.start(s); err != nil {
-			h.stop()
 			return nil, err
 		}
 		target, err := newHostTarget(h.daemons[len(h.daemons)-1].CallerAddress())
 		if err != nil {
-			h.stop()
 			return nil, err
 		}
 		fleet.Targets = append(fleet.Targets, target)
 	}
-	if err := h.awaitReady(ctx); err != nil {
-		h.stop()
-		return nil, err
-	}
-	return fleet, nil
+	return fleet, h.awaitReady(ctx)
 }
 
 func (h *hosts) start(s settings.Settings) error {
@@ -90,28 +114,18 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, d := range h.daemons {
-		c, err := client.New([]string{d.CallerAddress()}, client.Options{})
-		if err != nil {
-			return err
-		}
-		for {
-			status, err := c.Status(ctx, d.CallerAddress())
-			if err == nil && status.Ready {
-				break
-			}
+		for !d.Status().Ready {
 			pause(ctx, readyInterval)
 			if ctx.Err() != nil {
 				return result.Errorf(result.NotReady, "host %s is not ready after %s", d.CallerAddress(), readyTimeout)
 			}
 		}
-		c.Close()
 	}
 	return nil
 }
 
-// hostSettings gives every host its addresses and, in turn, a data centre.
-func hostSettings(d *standin.Deployment, o Options) ([]settings.Settings, error) {
-	dataCentres := workloads[o.Deployment].dataCentres
+// settings gives every host its addresses and, in turn, a data centre.
+func (o HostOptions) settings() ([]settings.Settings, error) {
 	out := make([]settings.Settings, o.Hosts)
 	for i := range out {
 		ports, err := freeAddresses(2)
@@ -122,8 +136,8 @@
 			PeerAddress:   ports[0],
 			CallerAddress: loopbackAny,
 			AdminAddress:  ports[1],
-			DataCentre:    dataCentres[i%len(dataCentres)],
-			Platform:      []string{"http://" + d.Platform.Address()},
+			DataCentre:    o.DataCentres[i%len(o.DataCentres)],
+			Platform:      []string{"http://" + o.Platform},
 			LogLevel:      "error",
 			StopTimeoutMS: int(stopTimeout.Milliseconds()),
 			StartWaitMS:   settings.DefaultStartWaitMS,
@@ -132,12 +146,12 @@
 	return out, nil
 }
 
-func listHosts(d *standin.Deployment, all []settings.Settings) {
+func hostEntries(all []settings.Settings) []platformapi.HostEntry {
 	entries := make([]platformapi.HostEntry, len(all))
 	for i, s := range all {
 		entries[i] = platformapi.HostEntry{Address: s.PeerAddress, DataCentre: s.DataCentre, State: platformapi.HostLive}
 	}
-	d.Platform.SetHosts(entries)
+	return entries
 }
 
 // freeAddresses returns loopback addresses that nothing listens on now.
