--- a/internal/load/counters.go
+++ b/internal/load/counters.go
@@ -37,6 +37,8 @@
 	c.endpoints.Ran -= before.endpoints.Ran
 	c.endpoints.Cancels -= before.endpoints.Cancels
 	c.endpoints.ConnectionsRefused -= before.endpoints.ConnectionsRefused
+	c.endpoints.Busy -= before.endpoints.Busy
+	c.endpoints.AfterLeaving -= before.endpoints.AfterLeaving
 	for code, n := range before.endpoints.Refused {
 		c.endpoints.Refused[code] -= n
 	}
@@ -54,6 +56,10 @@
 	l.Cancels = c.endpoints.Cancels
 	l.ConnectionsRefused = c.endpoints.ConnectionsRefused
 	l.HighestConnections = c.endpoints.HighestConnections
+	l.AfterLeaving = c.endpoints.AfterLeaving
+	if slotSeconds := float64(c.endpoints.Slots) * p.Seconds; slotSeconds > 0 {
+		l.SlotUse = c.endpoints.Busy.Seconds() / slotSeconds
+	}
 	l.Refused = positive(codeCounts(c.endpoints.Refused))
 	if l.Asked > 0 {
 		l.Extra = float64(l.Dispatches)/float64(l.Asked) - 1
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -87,6 +87,11 @@
 	// ConnectionsRefused counts connections above an endpoint's cap.
 	ConnectionsRefused int64 `json:"connections_refused"`
 	HighestConnections int   `json:"highest_connections"`
+	// AfterLeaving counts requests that reached an endpoint more than
+	// standin.LeavingGrace after it was told to leave.
+	AfterLeaving int64 `json:"after_leaving"`
+	// SlotUse is the share of the endpoints' slot time that was in use.
+	SlotUse float64 `json:"slot_use"`
 	// ProcessorUS is the processor time of the whole process, with callers and
 	// stand-ins, for each shard asked for.
 	ProcessorUS float64 `json:"processor_us_per_shard"`
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -69,12 +69,12 @@
 
 func loadTable(policies []Policy) string {
 	t := table.NewWriter()
-	t.AppendHeader(table.Row{"policy", "shards asked", "dispatches", "extra", "started", "extra started", "cancels", "connections refused", "most connections", "cpu us/shard"})
+	t.AppendHeader(table.Row{"policy", "shards asked", "dispatches", "extra", "started", "extra started", "cancels", "connections refused", "most connections", "after leaving", "slot use", "cpu us/shard"})
 	for _, p := range policies {
 		l := p.Load
 		t.AppendRow(table.Row{
 			p.Name, l.Asked, l.Dispatches, percent(l.Extra), l.Started, percent(l.ExtraStarted),
-			l.Cancels, l.ConnectionsRefused, l.HighestConnections, fmt.Sprintf("%.1f", l.ProcessorUS),
+			l.Cancels, l.ConnectionsRefused, l.HighestConnections, l.AfterLeaving, percent(l.SlotUse), fmt.Sprintf("%.1f", l.ProcessorUS),
 		})
 	}
 	return t.Render()
--- /dev/null
+++ b/internal/standin/counts.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Counts are the counters of an endpoint.
+type Counts struct {
+	// Requests counts searches and submits that arrived.
+	Requests int64
+	// Ran counts those that were started.
+	Ran int64
+	// Cancels counts cancellations that arrived.
+	Cancels int64
+	// Refused counts refusals by code.
+	Refused map[result.Code]int64
+	// ConnectionsRefused counts connections above the cap.
+	ConnectionsRefused int64
+	// Connections is the number of open connections, HighestConnections the
+	// highest that there were.
+	Connections        int
+	HighestConnections int
+	// InFlight is the number of requests that run now.
+	InFlight int
+	// Busy is the time that slots were held, over all slots.
+	Busy time.Duration
+	// Slots is the number of slots.
+	Slots int
+	// AfterLeaving counts requests that arrived more than LeavingGrace after the
+	// endpoint was told to leave.
+	AfterLeaving int64
+}
+
+// LeavingGrace is how long a leaving endpoint may still get new requests.
+const LeavingGrace = 3 * time.Second
+
+func (c *Counts) add(other Counts) {
+	c.Requests += other.Requests
+	c.Ran += other.Ran
+	c.Cancels += other.Cancels
+	c.ConnectionsRefused += other.ConnectionsRefused
+	c.InFlight += other.InFlight
+	c.Connections += other.Connections
+	c.HighestConnections = max(c.HighestConnections, other.HighestConnections)
+	c.Busy += other.Busy
+	c.Slots += other.Slots
+	c.AfterLeaving += other.AfterLeaving
+	if c.Refused == nil {
+		c.Refused = make(map[result.Code]int64)
+	}
+	for code, n := range other.Refused {
+		c.Refused[code] += n
+	}
+}
+
+// Counts returns the endpoint's counters.
+func (e *Endpoint) Counts() Counts {
+	c := Counts{
+		Requests: e.requests.Load(),
+		Ran:      e.ran.Load(),
+		Cancels:  e.cancels.Load(),
+		InFlight: int(e.inFlight.Load()),
+		Busy:     time.Duration(e.busy.Load()),
+		Slots:    e.options.Slots,
+		Refused:  make(map[result.Code]int64),
+
+		AfterLeaving: e.afterLeaving.Load(),
+	}
+	e.refusedMu.Lock()
+	for code, n := range e.refused {
+		c.Refused[code] = n
+	}
+	e.refusedMu.Unlock()
+	e.conns.mu.Lock()
+	defer e.conns.mu.Unlock()
+	c.ConnectionsRefused = e.conns.refused
+	c.Connections = len(e.conns.open)
+	c.HighestConnections = e.conns.highest
+	return c
+}
+
+func (e *Endpoint) noteLeaving(before, now bool) {
+	switch {
+	case now && !before:
+		e.leavingSince.Store(time.Now().UnixNano())
+	case !now:
+		e.leavingSince.Store(0)
+	}
+}
+
+// leftLongAgo reports whether the endpoint is leaving for more than LeavingGrace.
+func (e *Endpoint) leftLongAgo() bool {
+	since := e.leavingSince.Load()
+	return since != 0 && time.Since(time.Unix(0, since)) > LeavingGrace
+}
--- a/internal/standin/deployment_read.go
+++ b/internal/standin/deployment_read.go
@@ -57,3 +57,53 @@
 	}
 	return sum
 }
+
+// Endpoint returns the endpoint with the given ID, or nil.
+func (d *Deployment) Endpoint(id string) *Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoints[id]
+}
+
+// Endpoints returns all endpoints in the order of their services.
+func (d *Deployment) Endpoints() []*Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*Endpoint
+	for _, s := range d.services {
+		out = append(out, s.endpoints...)
+	}
+	return out
+}
+
+// Replicas returns the endpoints that hold a shard of the newest snapshot.
+func (d *Deployment) Replicas(service string, shard int) []*Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.service(service)
+	if s == nil {
+		return nil
+	}
+	var out []*Endpoint
+	for _, id := range s.newest().Shards[shard].Replicas {
+		out = append(out, d.endpoints[id])
+	}
+	return out
+}
+
+// Revision returns the revision published last.
+func (d *Deployment) Revision() config.Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// Snapshot returns the newest snapshot ID of a service's index.
+func (d *Deployment) Snapshot(service string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.service(service); s != nil {
+		return s.newest().ID
+	}
+	return 0
+}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -55,42 +55,6 @@
 	RecordBodies bool
 }
 
-// Counts are the counters of an endpoint.
-type Counts struct {
-	// Requests counts searches and submits that arrived.
-	Requests int64
-	// Ran counts those that were started.
-	Ran int64
-	// Cancels counts cancellations that arrived.
-	Cancels int64
-	// Refused counts refusals by code.
-	Refused map[result.Code]int64
-	// ConnectionsRefused counts connections above the cap.
-	ConnectionsRefused int64
-	// Connections is the number of open connections, HighestConnections the
-	// highest that there were.
-	Connections        int
-	HighestConnections int
-	// InFlight is the number of requests that run now.
-	InFlight int
-}
-
-func (c *Counts) add(other Counts) {
-	c.Requests += other.Requests
-	c.Ran += other.Ran
-	c.Cancels += other.Cancels
-	c.ConnectionsRefused += other.ConnectionsRefused
-	c.InFlight += other.InFlight
-	c.Connections += other.Connections
-	c.HighestConnections = max(c.HighestConnections, other.HighestConnections)
-	if c.Refused == nil {
-		c.Refused = make(map[result.Code]int64)
-	}
-	for code, n := range other.Refused {
-		c.Refused[code] += n
-	}
-}
-
 // Endpoint is an HTTP server of the endpoint protocol.
 type Endpoint struct {
 	options EndpointOptions
@@ -101,9 +65,11 @@
 	running running
 
 	sequence, requests, ran, cancels atomic.Int64
-	inFlight                         atomic.Int64
-	refusedMu                        sync.Mutex
-	refused                          map[result.Code]int64
+	inFlight, busy, afterLeaving     atomic.Int64
+	// leavingSince is the Unix time in nanoseconds when Leaving was set, or zero.
+	leavingSince atomic.Int64
+	refusedMu    sync.Mutex
+	refused      map[result.Code]int64
 
 	mu       sync.Mutex
 	address  string
@@ -162,6 +128,7 @@
 // SetFaults replaces the faults. Requests that are running keep theirs.
 func (e *Endpoint) SetFaults(f Faults) {
 	before := e.faults.Swap(&f)
+	e.noteLeaving(before.Leaving, f.Leaving)
 	switch {
 	case f.Lost && !before.Lost:
 		e.goDown()
@@ -189,28 +156,6 @@
 // Runs returns how often the submit with the given ID was started.
 func (e *Endpoint) Runs(id string) int { return e.options.Recorder.Runs(id) }
 
-// Counts returns the endpoint's counters.
-func (e *Endpoint) Counts() Counts {
-	c := Counts{
-		Requests: e.requests.Load(),
-		Ran:      e.ran.Load(),
-		Cancels:  e.cancels.Load(),
-		InFlight: int(e.inFlight.Load()),
-		Refused:  make(map[result.Code]int64),
-	}
-	e.refusedMu.Lock()
-	for code, n := range e.refused {
-		c.Refused[code] = n
-	}
-	e.refusedMu.Unlock()
-	e.conns.mu.Lock()
-	defer e.conns.mu.Unlock()
-	c.ConnectionsRefused = e.conns.refused
-	c.Connections = len(e.conns.open)
-	c.HighestConnections = e.conns.highest
-	return c
-}
-
 // listen opens the address and serves; the caller holds the mutex.
 func (e *Endpoint) listen(address string) error {
 	l, err := net.Listen("tcp", address)
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -72,6 +72,9 @@
 	c.draws = draws{seed: e.options.Seed, sequence: uint64(e.sequence.Add(1))}
 	c.late = c.draws.perMille(drawLate, c.faults.LatePerMille)
 	e.requests.Add(1)
+	if e.leftLongAgo() {
+		e.afterLeaving.Add(1)
+	}
 	if code := refusal(c); code != 0 {
 		e.refuse(w, c, code)
 		return nil, false
@@ -128,7 +131,7 @@
 		e.refuse(w, c, result.EndpointShed)
 		return
 	}
-	defer e.releaseSlot()
+	defer e.releaseSlot(time.Now())
 	e.record(c)
 	if c.faults.CrashFor > 0 && strings.Contains(c.request.Body, CrashMarker) {
 		e.crash(c.faults.CrashFor)
