--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -20,6 +20,9 @@
 	Query         queryCmd         `cmd:"" help:"Query a service."`
 	Submit        submitCmd        `cmd:"" help:"Run a request at most once, under a permit."`
 	Questionnaire questionnaireCmd `cmd:"" help:"Check, generate, explain and compare questionnaires."`
+	Load          loadCmd          `cmd:"" help:"Measure latency, coverage and extra load under faults, on loopback."`
+	Standin       standinCmd       `cmd:"" help:"Start a platform and endpoints on loopback, for experiments."`
+	Capacity      capacityCmd      `cmd:"" help:"Work out what each role of a host needs at a size, from measured slopes."`
 	Codes         codesCmd         `cmd:"" help:"List the result codes."`
 	Version       versionCmd       `cmd:"" help:"Print the version."`
 }
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,15 +18,12 @@
 
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
-	"admission", "config", "configuration", "control", "coordinator", "dispatch", "endpoint",
-	"keyrange", "peerwire", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
-	"admission", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
-	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
+	"admission", "capacity", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
+	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
 }
 
-// messagePackages hold nothing but messages and constants. Decision packages may
-// import them, and they obey the same rules.
-var messagePackages = []string{"peerwire", "platformapi", "../api"}
+// messagePackages hold messages that decision packages exchange with adapters.
+var messagePackages = []string{"../api", "peerwire", "platformapi"}
 
 // allowedStandard are the standard packages that a decision package may import.
 // None does I/O or starts a goroutine.
