Let Burn succeed on a permit that its lifetime burnt

A request that waited past the lifetime of its permit was answered as unknown, since Burn reported false for a permit that had just ended as not run.

--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -93,6 +93,11 @@
 		Expect(err.Code).To(Equal(result.PermitExpired))
 		return id
 	}, Replay, result.PermitExpired),
+	ginkgo.Entry("it was burnt after its lifetime had burnt it", func(l *Ledger, id ID) ID {
+		l.Submit(0, id, 1)
+		Expect(l.Burn(testLifetime, id, result.AllRefused)).To(BeTrue())
+		return id
+	}, Replay, result.PermitExpired),
 	ginkgo.Entry("a late reply settled what was unknown", func(l *Ledger, id ID) ID {
 		attempt := begun(l, id)
 		l.End(0, id, attempt, result.OutcomeUnknown, "")
--- a/internal/permit/transition.go
+++ b/internal/permit/transition.go
@@ -74,16 +74,18 @@
 }
 
 // Burn ends a submitted permit of which no attempt is running as not run, for
-// the reason code. It reports whether it did: if not, the submit must not be
-// answered as not run.
+// the reason code. It reports whether the permit has ended as not run, now or
+// before: if not, the submit must not be answered as not run.
 func (l *Ledger) Burn(now time.Duration, id ID, code result.Code) bool {
 	l.advance(now)
 	e, _ := l.find(id)
-	if e == nil || e.state != Submitted {
+	if e == nil {
 		return false
 	}
-	l.end(e, notRunCode(code), "")
-	return true
+	if e.state == Submitted {
+		l.end(e, notRunCode(code), "")
+	}
+	return e.state == NotRun
 }
 
 // notRunCode returns code if its class is not-run and a code of that class if
--- a/internal/permit/world_test.go
+++ b/internal/permit/world_test.go
@@ -228,7 +228,9 @@
 func (w *world) giveUp(*rapid.T) {
 	h, o := w.drawOwned()
 	if h.ledger.Burn(h.now, o.id, result.QueueFull) {
-		w.record(h, o, result.ClassNotRun)
+		if o.recorded == 0 {
+			w.record(h, o, result.ClassNotRun)
+		}
 		w.tell(o, o.firstBody, result.QueueFull, "")
 	}
 }
