Let the oracle of permits know when a lifetime ended

Burn now also succeeds on a permit that its lifetime had ended, and the oracle took the time of that call for the time of the end, and so expected the outcome for longer than the retention. The ledger was right.

--- a/internal/permit/world_test.go
+++ b/internal/permit/world_test.go
@@ -43,9 +43,11 @@
 // order is a permit with what the oracle knows of it: what the endpoint did and
 // what callers were told.
 type order struct {
-	id     ID
-	bodies map[uint64]int // Runs at the endpoint by body.
-	runs   int
+	id ID
+	// expires is the end of its lifetime in the issuer's time.
+	expires time.Duration
+	bodies  map[uint64]int // Runs at the endpoint by body.
+	runs    int
 	// outcome is what the endpoint answered; failed tells that it failed.
 	outcome string
 	failed  bool
@@ -120,7 +122,7 @@
 		if err != nil || parsed != id {
 			w.t.Fatalf("permit %v parses as %v, %v", id, parsed, err)
 		}
-		w.orders = append(w.orders, &order{id: id, bodies: make(map[uint64]int), toldNotRun: make(map[uint64]result.Code)})
+		w.orders = append(w.orders, &order{id: id, expires: h.now + testLifetime, bodies: make(map[uint64]int), toldNotRun: make(map[uint64]result.Code)})
 	}
 }
 
@@ -228,7 +230,7 @@
 func (w *world) giveUp(*rapid.T) {
 	h, o := w.drawOwned()
 	if h.ledger.Burn(h.now, o.id, result.QueueFull) {
-		if o.recorded == 0 {
+		if h.now < o.expires { // Otherwise it had ended before.
 			w.record(h, o, result.ClassNotRun)
 		}
 		w.tell(o, o.firstBody, result.QueueFull, "")
