--- /dev/null
+++ b/internal/coordinator/admit.go
@@ -0,0 +1,60 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/admission"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// offer asks for admission of a request that is in waiting or admitted.
+func (m *Machine) offer(now time.Duration, r admission.Request) {
+	switch d := m.admission.Offer(now, r); d.Verdict {
+	case admission.Admit:
+		m.start(now, r.ID)
+	case admission.Refuse:
+		m.refuse(now, r.ID, d.Code)
+	}
+}
+
+// admit carries out what became of waiting requests. Starting one may end
+// another, which admits more.
+func (m *Machine) admit(now time.Duration, c admission.Changes) {
+	for _, r := range c.Refused {
+		m.refuse(now, r.ID, r.Code)
+	}
+	for _, id := range c.Admitted {
+		m.start(now, id)
+	}
+}
+
+// start runs an admitted request.
+func (m *Machine) start(now time.Duration, id string) {
+	if w, ok := m.waiting[id]; ok {
+		delete(m.waiting, id)
+		m.startQuery(now, id, w)
+		return
+	}
+	if s := m.admitted[id]; s != nil {
+		m.attemptSubmit(now, s)
+	}
+}
+
+// refuse ends a request that was not admitted.
+func (m *Machine) refuse(now time.Duration, id string, code result.Code) {
+	if w, ok := m.waiting[id]; ok {
+		delete(m.waiting, id)
+		m.refuseQuery(w.ticket, &w.request, code)
+		return
+	}
+	if s := m.admitted[id]; s != nil {
+		s.admission = ""
+		delete(m.admitted, id)
+		m.burn(now, s, code)
+	}
+}
+
+// release ends an admitted request.
+func (m *Machine) release(now time.Duration, id string) {
+	m.admit(now, m.admission.Release(now, id))
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/admission"
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/endpoint"
+	"github.com/gypsumlug/gypsumlug/internal/permit"
 	"github.com/gypsumlug/gypsumlug/internal/query"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/view"
@@ -38,14 +40,35 @@
 
 // Actions are the outputs of one step. The driver dispatches before it cancels.
 type Actions struct {
-	Dispatch     []Routed
-	Cancel       []RoutedCancel
-	Queries      []QueryAnswer
+	Dispatch []Routed
+	Cancel   []RoutedCancel
+	Queries  []QueryAnswer
+	Submits  []SubmitAnswer
+	// Forwards are submits that another host decides.
+	Forwards     []Forward
 	Observations []view.Observation
 	// Events are counted.
 	Events []query.Event
 }
 
+// SubmitAnswer answers a submit.
+type SubmitAnswer struct {
+	Ticket Ticket
+	Answer api.SubmitAnswer
+}
+
+// Forward is a submit to ask the permit's issuer about. The driver answers the
+// ticket itself: with the issuer's answer; if the issuer could not be reached,
+// with that of Successor, or else IssuerUnreachable; and with ForwardUnknown if
+// it was reached and gave no answer.
+type Forward struct {
+	Ticket    Ticket
+	Issuer    view.Incarnation
+	Successor string
+	Request   api.SubmitRequest
+	Budget    time.Duration
+}
+
 // PauseGap is the least time between two steps after which the host counts as
 // paused. The driver steps the machine at least every TickInterval.
 const (
@@ -62,6 +85,10 @@
 	Self view.Incarnation
 	// Fingerprint identifies a request for the quarantine.
 	Fingerprint func(service, body string) view.Fingerprint
+	// Limits bound the requests of all services.
+	Limits admission.Limits
+	// Permits bounds the ledger.
+	Permits permit.Config
 }
 
 // Machine is the coordinator of one host.
@@ -71,13 +98,22 @@
 	view        *view.View
 	table       *endpoint.Table
 	budgets     map[string]*budgets
+	admission   *admission.Queue
+	ledger      *permit.Ledger
+	waiting     map[string]waitingQuery
 	queries     map[string]*running
+	submissions map[string]*submission
+	// admitted maps the ID of an admission to its submission.
+	admitted map[string]*submission
+	// tickets maps a ticket to the ID of its query.
+	tickets     map[Ticket]string
 	outstanding map[dispatch.Key]outstanding
 	relayDown   map[string]time.Duration
 	timers      timerHeap
 	sequence    uint64
 	last        time.Duration
 	swept       time.Duration
+	stopping    bool
 	out         Actions
 }
 
@@ -92,7 +128,8 @@
 	request dispatch.Request
 }
 
-// New returns a machine that refuses every request until SetView.
+// New returns a machine that refuses every request until SetView. The random
+// source should be cryptographic, since it draws the nonces of permits.
 func New(cfg Config, rng *rand.Rand) *Machine {
 	return &Machine{
 		cfg:         cfg,
@@ -100,7 +137,13 @@
 		view:        &view.View{Reason: result.NotReady},
 		table:       endpoint.NewTable(),
 		budgets:     make(map[string]*budgets),
+		admission:   admission.New(cfg.Limits),
+		ledger:      permit.New(cfg.Self, cfg.Permits),
+		waiting:     make(map[string]waitingQuery),
 		queries:     make(map[string]*running),
+		submissions: make(map[string]*submission),
+		admitted:    make(map[string]*submission),
+		tickets:     make(map[Ticket]string),
 		outstanding: make(map[dispatch.Key]outstanding),
 		relayDown:   make(map[string]time.Duration),
 	}
@@ -113,6 +156,7 @@
 	m.view = v
 	m.table.SetView(now, v)
 	m.updateBudgets()
+	m.admit(now, m.admission.SetBundle(now, v.Bundle))
 	return m.take()
 }
 
@@ -120,6 +164,9 @@
 func (m *Machine) Tick(now time.Duration) Actions {
 	m.advance(now)
 	m.runTimers(now)
+	m.admit(now, m.admission.Tick(now))
+	m.expireSubmits(now)
+	m.ledger.Tick(now)
 	m.sweep(now)
 	return m.take()
 }
@@ -130,11 +177,30 @@
 	if at, ok := m.timers.next(); ok {
 		next = min(next, at)
 	}
+	if at, ok := m.admission.Next(); ok {
+		next = min(next, at)
+	}
+	if at, ok := m.nextSubmitExpiry(); ok {
+		next = min(next, at)
+	}
 	return max(next, now)
 }
 
+// Stop refuses new requests and burns the permits that were not submitted.
+// Requests in progress go on to their end.
+func (m *Machine) Stop(now time.Duration) Actions {
+	m.advance(now)
+	m.stopping = true
+	m.admission.Stop()
+	m.ledger.Stop(now)
+	return m.take()
+}
+
 // Running returns the number of requests in progress.
-func (m *Machine) Running() int { return len(m.queries) }
+func (m *Machine) Running() int { return len(m.waiting) + len(m.queries) + len(m.submissions) }
+
+// Permits returns the number of permits by state.
+func (m *Machine) Permits() permit.Stats { return m.ledger.Stats() }
 
 // Outstanding returns the number of attempts without a reply.
 func (m *Machine) Outstanding() int { return len(m.outstanding) }
@@ -167,7 +233,23 @@
 		m.table.Replied(now, r, now-o.sent)
 	}
 	m.observe(&r)
-	m.replyToQuery(now, r, known)
+	switch {
+	case known && o.request.Operation == dispatch.Submit:
+		m.replyToSubmit(now, r)
+	case known:
+		m.replyToQuery(now, r)
+	default:
+		m.stray(now, r)
+	}
+}
+
+// stray counts a reply to an attempt that is not outstanding. The late outcome
+// of a submit still settles its permit.
+func (m *Machine) stray(now time.Duration, r dispatch.Reply) {
+	m.out.Events = append(m.out.Events, query.Event{Kind: query.EventStray, Code: r.Code})
+	if id, err := permit.Parse(r.Request); err == nil {
+		m.settle(now, id, r)
+	}
 }
 
 // observe reports signs that concern other hosts.
--- a/internal/coordinator/queries.go
+++ b/internal/coordinator/queries.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/admission"
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
@@ -25,6 +26,13 @@
 	wake time.Duration
 }
 
+// waitingQuery is a query that was not admitted yet.
+type waitingQuery struct {
+	ticket   Ticket
+	request  api.QueryRequest
+	deadline time.Duration
+}
+
 // Query takes a caller's query. The answer comes in the Actions of this or a
 // later step, under the ticket.
 func (m *Machine) Query(now time.Duration, ticket Ticket, q api.QueryRequest) Actions {
@@ -33,29 +41,37 @@
 		m.refuseQuery(ticket, &q, code)
 		return m.take()
 	}
-	m.startQuery(now, ticket, &q)
+	id := m.requestID()
+	w := waitingQuery{ticket: ticket, request: q, deadline: now + budget(m.view.Bundle.Service(q.Service), q.BudgetMS)}
+	m.waiting[id] = w
+	m.tickets[ticket] = id
+	m.offer(now, admission.Request{ID: id, Service: q.Service, Caller: q.Caller, Budget: w.deadline - now})
 	return m.take()
 }
 
-// Hangup ends the request of a caller that went away.
+// Hangup ends the request of a caller that went away. A submit goes on, so that
+// its permit learns the outcome.
 func (m *Machine) Hangup(now time.Duration, ticket Ticket) Actions {
 	m.advance(now)
-	for _, r := range m.queries {
-		if r.ticket == ticket {
-			m.apply(now, r, r.query.Hangup())
-			break
-		}
+	id := m.tickets[ticket]
+	delete(m.tickets, ticket)
+	if r := m.queries[id]; r != nil {
+		m.apply(now, r, r.query.Hangup())
+	}
+	if _, ok := m.waiting[id]; ok {
+		delete(m.waiting, id)
+		m.admit(now, m.admission.Cancel(now, id))
 	}
 	return m.take()
 }
 
 // refusal returns why the host does not take a request, or zero.
 func (m *Machine) refusal(name string, repeatable bool) result.Code {
-	if !m.view.Ready {
+	switch s, x := m.service(name); {
+	case m.stopping:
+		return result.Stopping
+	case !m.view.Ready:
 		return m.view.Reason
-	}
-	s, x := m.service(name)
-	switch {
 	case s == nil || x == nil:
 		return result.UnknownService
 	case repeatable && !s.Repeatable:
@@ -67,30 +83,36 @@
 	}
 }
 
-func (m *Machine) startQuery(now time.Duration, ticket Ticket, q *api.QueryRequest) {
-	s, x := m.service(q.Service)
-	fingerprint := m.cfg.Fingerprint(q.Service, q.Query)
+// startQuery runs an admitted query under the configuration in force.
+func (m *Machine) startQuery(now time.Duration, id string, w waitingQuery) {
+	s, x := m.service(w.request.Service)
+	if s == nil || x == nil {
+		m.refuseQuery(w.ticket, &w.request, result.UnknownService)
+		m.release(now, id)
+		return
+	}
+	fingerprint := m.cfg.Fingerprint(s.Name, w.request.Query)
 	r := &running{
-		ticket:      ticket,
-		id:          m.requestID(),
-		requestID:   q.RequestID,
+		ticket:      w.ticket,
+		id:          id,
+		requestID:   w.request.RequestID,
 		service:     s,
 		revision:    m.view.Bundle.Revision,
 		fingerprint: fingerprint,
 	}
 	r.query = query.New(query.Params{
-		ID:        r.id,
+		ID:        id,
 		Service:   s,
 		Index:     x,
-		Body:      q.Query,
-		Limit:     q.Limit,
-		Deadline:  now + budget(s, q.BudgetMS),
+		Body:      w.request.Query,
+		Limit:     w.request.Limit,
+		Deadline:  w.deadline,
 		Suspicion: m.view.Suspects[fingerprint],
 		Replicas:  replicas{m},
 		Budgets:   m.budgets[s.Name],
 		Rand:      m.rng,
 	})
-	m.queries[r.id] = r
+	m.queries[id] = r
 	m.apply(now, r, r.query.Start(now))
 }
 
@@ -104,9 +126,9 @@
 	return wish
 }
 
-func (m *Machine) replyToQuery(now time.Duration, reply dispatch.Reply, known bool) {
+func (m *Machine) replyToQuery(now time.Duration, reply dispatch.Reply) {
 	r := m.queries[reply.Request]
-	if r == nil || !known {
+	if r == nil {
 		m.out.Events = append(m.out.Events, query.Event{Kind: query.EventStray, Code: reply.Code})
 		return
 	}
@@ -126,24 +148,24 @@
 		m.out.Observations = append(m.out.Observations, view.Observation{Recovered: []view.Fingerprint{r.fingerprint}})
 	}
 	if a.Answer != nil {
-		m.out.Queries = append(m.out.Queries, QueryAnswer{Ticket: r.ticket, Answer: r.answer(a.Answer)})
+		m.answerQuery(r.ticket, r.answer(a.Answer))
 	}
 	if r.query.Done() {
 		delete(m.queries, r.id)
 		r.wake = 0
+		m.release(now, r.id)
 		return
 	}
 	m.schedule(r)
 }
 
 func (m *Machine) refuseQuery(ticket Ticket, q *api.QueryRequest, code result.Code) {
-	m.out.Queries = append(m.out.Queries, QueryAnswer{Ticket: ticket, Answer: api.QueryAnswer{
-		RequestID: q.RequestID,
-		Code:      code,
-		Name:      code.String(),
-		Class:     code.Class().String(),
-		Hits:      []dispatch.Hit{},
-	}})
+	m.answerQuery(ticket, api.RefuseQuery(*q, code.Error()))
+}
+
+func (m *Machine) answerQuery(ticket Ticket, a api.QueryAnswer) {
+	delete(m.tickets, ticket)
+	m.out.Queries = append(m.out.Queries, QueryAnswer{Ticket: ticket, Answer: a})
 }
 
 // answer converts the answer of the query machine.
--- /dev/null
+++ b/internal/coordinator/submits.go
@@ -0,0 +1,338 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/admission"
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/permit"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// submission is a permit's request in progress on its issuer.
+type submission struct {
+	id      permit.ID
+	request api.SubmitRequest
+	service *config.Service
+	// admission is the ID of its admission, or empty before and after.
+	admission string
+	deadline  time.Duration
+	waiters   []waiter
+	tried     []string
+	retries   int
+	suspicion view.Suspicion
+}
+
+// waiter is a caller that waits for the outcome of a submission.
+type waiter struct {
+	ticket    Ticket
+	requestID string
+	deadline  time.Duration
+}
+
+// Submit takes a submit. The answer comes in the Actions of this or a later
+// step, under the ticket. A forwarded submit is never forwarded again.
+//
+// The ledger sees every submit first: a refusal for any other reason would be
+// untrue for a permit that had run before.
+func (m *Machine) Submit(now time.Duration, ticket Ticket, s api.SubmitRequest, forwarded bool) Actions {
+	m.advance(now)
+	id, err := permit.Parse(s.Permit)
+	switch {
+	case s.Permit == "":
+		m.refuseSubmit(ticket, &s, result.PermitRequired)
+	case err != nil:
+		m.refuseSubmit(ticket, &s, result.PermitMalformed)
+	case id.Service != s.Service:
+		m.refuseSubmit(ticket, &s, result.PermitBodyMismatch)
+	default:
+		m.decide(now, ticket, s, id, forwarded)
+	}
+	return m.take()
+}
+
+func (m *Machine) decide(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID, forwarded bool) {
+	d := m.ledger.Submit(now, id, permit.HashRequest(s.Caller, s.Key, s.Body))
+	switch d.Verdict {
+	case permit.Dispatch:
+		m.begin(now, ticket, s, id)
+	case permit.Running:
+		m.join(now, ticket, &s, d)
+	case permit.Foreign:
+		m.forward(now, ticket, s, id, forwarded)
+	default:
+		m.answerSubmit(ticket, s.RequestID, s.Permit, answerOf(&d))
+	}
+}
+
+// outcome is what a submit is answered with.
+type outcome struct {
+	code     result.Code
+	body     string
+	replayed bool
+}
+
+func answerOf(d *permit.Decision) outcome {
+	return outcome{code: d.Code, body: d.Outcome, replayed: d.Verdict == permit.Replay}
+}
+
+// begin takes a permit's first submit.
+func (m *Machine) begin(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID) {
+	sub := &submission{id: id, request: s, service: m.view.Bundle.Service(s.Service)}
+	if sub.service == nil {
+		sub.waiters = []waiter{{ticket: ticket, requestID: s.RequestID}}
+		m.burn(now, sub, result.UnknownService)
+		return
+	}
+	sub.deadline = now + budget(sub.service, s.BudgetMS)
+	sub.waiters = []waiter{{ticket: ticket, requestID: s.RequestID, deadline: sub.deadline}}
+	sub.suspicion = m.view.Suspects[m.cfg.Fingerprint(s.Service, s.Body)]
+	m.submissions[s.Permit] = sub
+	if sub.suspicion == view.Quarantined {
+		m.burn(now, sub, result.Quarantined)
+		return
+	}
+	sub.admission = m.requestID()
+	m.admitted[sub.admission] = sub
+	m.offer(now, admission.Request{ID: sub.admission, Service: s.Service, Caller: s.Caller, Budget: sub.deadline - now})
+}
+
+// join adds a caller to a submission in progress.
+func (m *Machine) join(now time.Duration, ticket Ticket, s *api.SubmitRequest, d permit.Decision) {
+	sub := m.submissions[s.Permit]
+	if sub == nil {
+		m.answerSubmit(ticket, s.RequestID, s.Permit, outcome{code: d.Code})
+		return
+	}
+	sub.waiters = append(sub.waiters, waiter{
+		ticket: ticket, requestID: s.RequestID, deadline: now + budget(sub.service, s.BudgetMS),
+	})
+}
+
+func (m *Machine) forward(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID, forwarded bool) {
+	if forwarded {
+		m.answerSubmit(ticket, s.RequestID, s.Permit, outcome{code: result.IssuerUnreachable})
+		return
+	}
+	limit := defaultForwardBudget
+	if service := m.view.Bundle.Service(s.Service); service != nil {
+		limit = budget(service, s.BudgetMS)
+	}
+	m.out.Forwards = append(m.out.Forwards, Forward{
+		Ticket: ticket, Issuer: id.Issuer, Successor: m.successor(id), Request: s, Budget: limit,
+	})
+}
+
+// defaultForwardBudget bounds a forward for a service that is not configured.
+const defaultForwardBudget = time.Second
+
+// attemptSubmit dispatches one attempt of an admitted submission, or burns its
+// permit if there is nowhere to dispatch it.
+func (m *Machine) attemptSubmit(now time.Duration, s *submission) {
+	if now >= s.deadline {
+		m.burn(now, s, result.ExpiredInQueue)
+		return
+	}
+	keys, endpoint, code := m.pickForSubmit(now, s)
+	if code != 0 {
+		m.burn(now, s, code)
+		return
+	}
+	attempt, err := m.ledger.Begin(now, s.id)
+	if err != nil {
+		m.finishSubmit(now, s, outcome{code: err.Code})
+		return
+	}
+	m.dispatch(now, dispatch.Request{
+		Key:       dispatch.Key{Request: s.request.Permit, Attempt: attempt},
+		Operation: dispatch.Submit,
+		Service:   s.service.Name,
+		Endpoint:  endpoint,
+		Range:     keys,
+		Body:      s.request.Body,
+		Urgency:   s.service.Urgency,
+		Budget:    s.deadline - now,
+		Suspect:   s.suspicion == view.Suspected,
+		Fresh:     true,
+	})
+}
+
+// pickForSubmit chooses a replica of the shard that holds the request's key in
+// the newest snapshot.
+func (m *Machine) pickForSubmit(now time.Duration, s *submission) (keyrange.Range, string, result.Code) {
+	x := m.view.Bundle.Index(s.service.Name)
+	if x == nil || len(x.Snapshots) == 0 {
+		return keyrange.Range{}, "", result.NoReplica
+	}
+	shards := x.Snapshots[len(x.Snapshots)-1].Shards
+	i := slices.IndexFunc(shards, func(sh config.Shard) bool { return sh.Range.Contains(s.request.Key) })
+	if i < 0 {
+		return keyrange.Range{}, "", result.InvalidValue
+	}
+	if !quarantine.MayRun(s.suspicion, m.eligible(now, shards[i].Replicas)) {
+		return keyrange.Range{}, "", result.Quarantined
+	}
+	endpoint, ok := (replicas{m}).Pick(now, shards[i].Replicas, s.tried)
+	switch {
+	case ok:
+		return shards[i].Range, endpoint, 0
+	case len(s.tried) > 0:
+		return keyrange.Range{}, "", result.AllRefused
+	default:
+		return keyrange.Range{}, "", result.NoReplica
+	}
+}
+
+func (m *Machine) eligible(now time.Duration, ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if m.table.Eligible(now, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// replyToSubmit handles the reply to an attempt of a submission. Only a proved
+// refusal leads to another attempt.
+func (m *Machine) replyToSubmit(now time.Duration, r dispatch.Reply) {
+	s := m.submissions[r.Request]
+	if s == nil {
+		m.stray(now, r)
+		return
+	}
+	if !m.settle(now, s.id, r) {
+		m.finishSubmit(now, s, outcome{code: result.OutcomeUnknown})
+		return
+	}
+	if r.Outcome != dispatch.Refused {
+		m.finishSubmit(now, s, outcomeOf(&r))
+		return
+	}
+	s.tried = append(s.tried, r.Endpoint)
+	if s.retries >= s.service.Retry.Max || !m.budgets[s.service.Name].TakeRetry() {
+		m.burn(now, s, result.AllRefused)
+		return
+	}
+	s.retries++
+	m.out.Events = append(m.out.Events, query.Event{Kind: query.EventRetry, Code: r.Code})
+	m.attemptSubmit(now, s)
+}
+
+// settle records the outcome of an attempt in the ledger.
+func (m *Machine) settle(now time.Duration, id permit.ID, r dispatch.Reply) bool {
+	if r.Outcome == dispatch.Refused {
+		return m.ledger.Refused(now, id, r.Attempt, r.Code)
+	}
+	o := outcomeOf(&r)
+	return m.ledger.End(now, id, r.Attempt, o.code, o.body)
+}
+
+func outcomeOf(r *dispatch.Reply) outcome {
+	switch r.Outcome {
+	case dispatch.OK:
+		return outcome{code: result.Done, body: r.Body}
+	case dispatch.Failed:
+		return outcome{code: result.EndpointFailed, body: r.Body}
+	default:
+		return outcome{code: result.OutcomeUnknown}
+	}
+}
+
+// burn ends a submission of which no attempt is running as not run.
+func (m *Machine) burn(now time.Duration, s *submission, code result.Code) {
+	if !m.ledger.Burn(now, s.id, code) {
+		code = result.OutcomeUnknown
+	}
+	m.finishSubmit(now, s, outcome{code: code})
+}
+
+// finishSubmit answers every waiter and frees the submission's place.
+func (m *Machine) finishSubmit(now time.Duration, s *submission, o outcome) {
+	delete(m.submissions, s.request.Permit)
+	for _, w := range s.waiters {
+		m.answerSubmit(w.ticket, w.requestID, s.request.Permit, o)
+	}
+	s.waiters = nil
+	if id := s.admission; id != "" {
+		s.admission = ""
+		delete(m.admitted, id)
+		m.release(now, id)
+	}
+}
+
+// expireSubmits answers the waiters whose deadline has passed. The submission
+// goes on: an attempt of it may be running.
+func (m *Machine) expireSubmits(now time.Duration) {
+	for _, s := range m.sortedSubmissions() {
+		expired := s.waiters[:0:0]
+		s.waiters = slices.DeleteFunc(s.waiters, func(w waiter) bool {
+			if now >= w.deadline {
+				expired = append(expired, w)
+			}
+			return now >= w.deadline
+		})
+		for _, w := range expired {
+			m.answerSubmit(w.ticket, w.requestID, s.request.Permit, outcome{code: result.StillRunning})
+		}
+	}
+}
+
+func (m *Machine) sortedSubmissions() []*submission {
+	if len(m.submissions) == 0 {
+		return nil
+	}
+	out := make([]*submission, 0, len(m.submissions))
+	for _, s := range m.submissions {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *submission) int { return cmp.Compare(a.request.Permit, b.request.Permit) })
+	return out
+}
+
+// nextSubmitExpiry returns the earliest deadline of a waiter.
+func (m *Machine) nextSubmitExpiry() (time.Duration, bool) {
+	var next time.Duration
+	found := false
+	for _, s := range m.submissions {
+		for _, w := range s.waiters {
+			if !found || w.deadline < next {
+				next, found = w.deadline, true
+			}
+		}
+	}
+	return next, found
+}
+
+func (m *Machine) refuseSubmit(ticket Ticket, s *api.SubmitRequest, code result.Code) {
+	m.answerSubmit(ticket, s.RequestID, s.Permit, outcome{code: code})
+}
+
+func (m *Machine) answerSubmit(ticket Ticket, requestID, permitID string, o outcome) {
+	m.out.Submits = append(m.out.Submits, SubmitAnswer{Ticket: ticket, Answer: api.SubmitAnswer{
+		RequestID: requestID,
+		Permit:    permitID,
+		Code:      o.code,
+		Name:      o.code.String(),
+		Class:     o.code.Class().String(),
+		Reason:    reason(o.code),
+		Outcome:   o.body,
+		Replayed:  o.replayed,
+	}})
+}
+
+// reason explains a code that is not complete.
+func reason(code result.Code) string {
+	if code.Class() == result.ClassComplete {
+		return ""
+	}
+	return code.Error().Reason
+}
--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -24,14 +24,17 @@
 	for i := range q.shards {
 		s := &q.shards[i]
 		if s.state == shardPending {
-			q.giveUp(s, expiryCode(s))
+			q.giveUp(s, q.expiryCode(s))
 		}
 	}
 	q.finish()
 }
 
 // expiryCode tells why a pending shard is missing when time is up.
-func expiryCode(s *shard) result.Code {
+func (q *Query) expiryCode(s *shard) result.Code {
+	if q.suspect && len(s.open) == 0 {
+		return result.MissingQuarantined
+	}
 	if len(s.open) > 0 || s.reason == 0 {
 		return result.MissingDeadline
 	}
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -5,17 +5,19 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 // sendPrimary dispatches the first attempt of a shard, unless the query is a
 // suspect with an attempt in flight.
 func (q *Query) sendPrimary(now time.Duration, i int) {
-	if q.suspect && len(q.byAttempt) > 0 {
+	s := &q.shards[i]
+	if q.suspect && !q.mayRunAlone(now, s) {
 		q.held = true
 		return
 	}
-	s := &q.shards[i]
 	endpoint, ok := q.p.Replicas.Pick(now, s.replicas, s.gone)
 	if !ok {
 		q.giveUp(s, result.MissingNoReplica)
@@ -25,6 +27,21 @@
 	q.send(now, i, endpoint)
 }
 
+// mayRunAlone reports whether a suspect may be sent to a shard now: it has no
+// other attempt in flight and cannot take the shard's last replica down.
+func (q *Query) mayRunAlone(now time.Duration, s *shard) bool {
+	if len(q.byAttempt) > 0 {
+		return false
+	}
+	eligible := 0
+	for _, id := range s.replicas {
+		if q.p.Replicas.Eligible(now, id) {
+			eligible++
+		}
+	}
+	return quarantine.MayRun(view.Suspected, eligible)
+}
+
 func (q *Query) send(now time.Duration, i int, endpoint string) {
 	s := &q.shards[i]
 	q.nextAttempt++
@@ -132,7 +149,7 @@
 	if !s.waiting || now < s.retryAt {
 		return
 	}
-	if q.suspect && len(q.byAttempt) > 0 {
+	if q.suspect && !q.mayRunAlone(now, s) {
 		s.retryAt = now + retryBackoffMin
 		return
 	}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -212,6 +212,7 @@
 	for i := range q.shards {
 		q.tickShard(now, i)
 	}
+	q.resume(now)
 	q.finishIfComplete()
 	return q.take()
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -112,6 +112,9 @@
 	return fmt.Sprintf("%d %s: %s: %s", uint16(e.Code), e.Code, e.Field, e.Reason)
 }
 
+// Error returns the error of c with the meaning of the code as its reason.
+func (c Code) Error() *Error { return &Error{Code: c, Reason: byCode[c].Meaning} }
+
 // Errorf returns an *Error with a formatted reason and no field.
 func Errorf(c Code, format string, args ...any) *Error {
 	return &Error{Code: c, Reason: fmt.Sprintf(format, args...)}
