Add the relay machine

Cause: a replica has few slots and connections, so few hosts should order what is sent to it, and a refusal must prove that nothing ran. Change: relay.Machine queues attempts by urgency and deadline with a floor, keeps them within an adaptive limit and the host's share of connections, runs crash suspects alone and one after another, reports crashes once with all that ran, refuses what waits for leaving endpoints, and sends nothing on beliefs from before a pause. Result code 345 tells that a queue cannot meet a budget. endpoint.Table and the relay keep a sign of leaving while an endpoint is out of the configuration; testsuite.CheckN sets the number of runs of a property. The oracle found two faults on the way: a sign of leaving was lost when its endpoint left the configuration and came back, and a suspect's reply that told of a drain let another attempt through first.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -17,7 +18,16 @@
 	bundle   *config.Bundle
 	replicas map[string]*replica
 	services map[string]*service
-	pool     []*replica
+	// removed holds the signs of leaving of endpoints that left the
+	// configuration, lest they come back meanwhile.
+	removed map[string]leavingSign
+	pool    []*replica
+}
+
+// leavingSign tells until when the process at an address is held to be leaving.
+type leavingSign struct {
+	address string
+	until   time.Duration
 }
 
 // NewTable returns a table that knows no endpoint.
@@ -26,6 +36,7 @@
 		view:     &view.View{},
 		replicas: make(map[string]*replica),
 		services: make(map[string]*service),
+		removed:  make(map[string]leavingSign),
 	}
 }
 
@@ -37,10 +48,12 @@
 		return
 	}
 	t.bundle = v.Bundle
-	for id := range t.replicas {
-		if e := v.Bundle.Endpoint(id); e == nil || e.Address != t.replicas[id].address {
-			t.replicas[id].service.remove(t.replicas[id])
+	maps.DeleteFunc(t.removed, func(_ string, s leavingSign) bool { return s.until <= now })
+	for id, r := range t.replicas {
+		if e := v.Bundle.Endpoint(id); e == nil || e.Address != r.address {
+			r.service.remove(r)
 			delete(t.replicas, id)
+			t.removed[id] = leavingSign{address: r.address, until: r.leavingUntil}
 		}
 	}
 	for id, e := range v.Bundle.Endpoints() {
@@ -62,6 +75,9 @@
 	r := t.replicas[id]
 	if r == nil {
 		r = &replica{id: id, address: e.Address, since: now}
+		if sign := t.removed[id]; sign.address == e.Address {
+			r.leavingUntil = sign.until
+		}
 		t.replicas[id] = r
 	}
 	if r.service != s {
--- a/internal/endpoint/table_test.go
+++ b/internal/endpoint/table_test.go
@@ -67,13 +67,15 @@
 	outstanding map[string][]time.Duration
 	leaving     map[string]time.Duration
 	faults      map[string]int
-	pausedAt    time.Duration
+	// since is from when attempts count: the last pause or entry into the view.
+	since   map[string]time.Duration
+	removed map[string]bool
 }
 
 func (o *oracle) inFlight(id string) int {
 	n := 0
 	for _, at := range o.outstanding[id] {
-		if at >= o.pausedAt {
+		if at >= o.since[id] && !o.removed[id] {
 			n++
 		}
 	}
@@ -82,11 +84,11 @@
 
 func TestTableAgainstOracle(t *testing.T) {
 	const replicas = 6
-	base := newView(t, replicas)
+	base, smaller := newView(t, replicas), newView(t, replicas-1)
 	testsuite.Check(t, func(rt *rapid.T) {
 		table := endpoint.NewTable()
 		table.SetView(0, base)
-		o := &oracle{outstanding: map[string][]time.Duration{}, leaving: map[string]time.Duration{}, faults: map[string]int{}}
+		o := &oracle{outstanding: map[string][]time.Duration{}, leaving: map[string]time.Duration{}, faults: map[string]int{}, since: map[string]time.Duration{}, removed: map[string]bool{}}
 		now := time.Second
 		viewLeaving := map[string]bool{}
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
@@ -98,7 +100,7 @@
 				candidates := ids[:rapid.IntRange(0, len(ids)).Draw(rt, "candidates")]
 				skip := func(id string) bool { return slices.Contains(excluded, id) }
 				id, ok := table.Pick(now, candidates, skip, rng)
-				usable := func(id string) bool { return id != "gone" && !leaving(id) && !skip(id) }
+				usable := func(id string) bool { return id != "gone" && !o.removed[id] && !leaving(id) && !skip(id) }
 				if ok != slices.ContainsFunc(candidates, usable) {
 					rt.Fatalf("pick from %v without %v: %v", candidates, excluded, ok)
 				}
@@ -130,11 +132,13 @@
 				r := replyTo(id, k.outcome, k.code)
 				if rapid.IntRange(0, 9).Draw(rt, "drains") == 0 {
 					r.Load = &dispatch.Load{Leaving: true}
-					o.leaving[id] = now + 30*time.Second
+					if !o.removed[id] {
+						o.leaving[id] = now + 30*time.Second
+					}
 				}
 				table.Replied(now, r, now-at)
 				switch {
-				case at < o.pausedAt:
+				case at < o.since[id] || o.removed[id]:
 				case k.outcome == dispatch.OK:
 					o.faults[id] = 0
 				case k.fault:
@@ -146,7 +150,9 @@
 				for range rapid.IntRange(1, 6).Draw(rt, "times") {
 					table.Dispatched(now, id)
 					table.Replied(now, replyTo(id, dispatch.Failed, result.EndpointFailed), 0)
-					o.faults[id]++
+					if !o.removed[id] {
+						o.faults[id]++
+					}
 				}
 			},
 			"succeed": func(rt *rapid.T) {
@@ -161,13 +167,21 @@
 				for _, id := range rapid.SliceOfDistinct(rapid.SampledFrom(ids), rapid.ID[string]).Draw(rt, "leaving") {
 					viewLeaving[id] = true
 				}
-				next := *base
+				now++ // an attempt from before is told by its time
+				next := *rapid.SampledFrom([]*view.View{base, smaller}).Draw(rt, "view")
 				next.Leaving = viewLeaving
+				gone := next.Bundle == smaller.Bundle
+				if o.removed["e5"] && !gone {
+					o.since["e5"], o.faults["e5"] = now, 0
+				}
+				o.removed["e5"] = gone
 				table.SetView(now, &next)
 			},
 			"pause": func(*rapid.T) {
 				now += time.Minute
-				o.pausedAt = now
+				for _, id := range ids {
+					o.since[id] = now
+				}
 				table.Paused(now)
 			},
 			"wait": func(rt *rapid.T) {
@@ -180,7 +194,7 @@
 						rt.Fatalf("%s: %d in flight, want %d", id, got, o.inFlight(id))
 					}
 					c := table.Condition(now, id)
-					if (c == endpoint.Leaving) != leaving(id) {
+					if (c == endpoint.Leaving) != (leaving(id) && !o.removed[id]) {
 						rt.Fatalf("%s is %v, leaving is %v", id, c, leaving(id))
 					}
 					if c == endpoint.Ejected {
--- /dev/null
+++ b/internal/relay/complete.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Complete takes the reply to an attempt that was sent. A reply to anything else
+// is counted and dropped.
+func (m *Machine) Complete(now time.Duration, reply dispatch.Reply) Actions {
+	var out Actions
+	m.begin(now, &out)
+	a := m.attempts[reply.Key]
+	if a == nil || !a.sent {
+		m.counters.Late++
+		return out
+	}
+	r := a.replica
+	if reply.Outcome == dispatch.Unknown && reply.Code == result.EndpointCrashed {
+		m.reportCrash(now, a, &out)
+	}
+	r.running = slices.DeleteFunc(r.running, func(other *attempt) bool { return other == a })
+	m.learn(now, r, a, &reply)
+	m.end(a)
+	if !a.orphan {
+		out.reply(a.origin, reply)
+	}
+	if reply.Code == result.EndpointLeaving || (reply.Load != nil && reply.Load.Leaving) {
+		m.observeLeaving(now, r, &out)
+	}
+	if a.suspect() {
+		m.suspectEnded(now, a, &reply, &out)
+	}
+	m.pump(now, r, &out)
+	m.forget(now, r, &out)
+	return out
+}
+
+// learn adapts the limit. Attempts from before a pause teach nothing, since
+// their times were measured across it.
+func (m *Machine) learn(now time.Duration, r *replica, a *attempt, reply *dispatch.Reply) {
+	if a.sentAt < m.staleSince {
+		return
+	}
+	switch reply.Outcome {
+	case dispatch.OK, dispatch.Failed:
+		r.limit.Completed(now, now-a.sentAt, reply.Service, a.full)
+		r.observe(now - a.sentAt)
+	case dispatch.Refused:
+		r.limit.Refused(now, reply.Code)
+		if reply.Code == result.EndpointShed || reply.Code == result.EndpointCold {
+			r.refused(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/send.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// pump drops what has waited too long and sends what may be sent.
+func (m *Machine) pump(now time.Duration, r *replica, out *Actions) {
+	m.expire(now, r, out)
+	if m.stale || now < r.holdUntil {
+		return
+	}
+	for !r.alone && len(r.running) < r.capacity() {
+		if a := m.nextSuspect(r); a != nil {
+			if m.sendSuspect(now, r, a, out) {
+				continue
+			}
+			break
+		}
+		a := r.next()
+		if a == nil {
+			break
+		}
+		m.sendNormal(now, r, a, out)
+	}
+	m.updateTarget(r, out)
+}
+
+// expire refuses waiting attempts whose budget or patience has ended.
+func (m *Machine) expire(now time.Duration, r *replica, out *Actions) {
+	for class := range r.queues {
+		q := &r.queues[class]
+		for q.Len() > 0 && q.First().Deadline <= now {
+			a := q.First()
+			q.Remove(a)
+			m.refuse(a, result.ExpiredBeforeSend, out)
+		}
+	}
+	if r.suspects.Len() == 0 {
+		return
+	}
+	for _, a := range slices.Collect(r.suspects.All) {
+		switch {
+		case a.Deadline <= now:
+			r.suspects.Remove(a)
+			m.refuse(a, result.ExpiredBeforeSend, out)
+		case a.refuseAt <= now:
+			r.suspects.Remove(a)
+			m.refuse(a, result.SuspectBusy, out)
+		}
+	}
+}
+
+// sendNormal sends an attempt, unless it came under suspicion while it waited.
+func (m *Machine) sendNormal(now time.Duration, r *replica, a *attempt, out *Actions) {
+	if code := m.checkSuspicion(now, a); code != 0 {
+		m.refuse(a, code, out)
+		return
+	}
+	if a.suspect() {
+		m.enqueue(a)
+		return
+	}
+	r.sinceSuspect++
+	m.send(now, r, a, out)
+}
+
+func (m *Machine) send(now time.Duration, r *replica, a *attempt, out *Actions) {
+	a.sent = true
+	a.sentAt = now
+	r.running = append(r.running, a)
+	r.peaks[0] = max(r.peaks[0], len(r.running))
+	if len(r.running) >= r.capacity() {
+		for _, other := range r.running {
+			other.full = true
+		}
+	}
+	request := a.request
+	request.Budget = a.remaining(now)
+	out.Send = append(out.Send, request)
+}
+
+// observeLeaving takes a sign that the endpoint is draining and refuses all that
+// waits for it.
+func (m *Machine) observeLeaving(now time.Duration, r *replica, out *Actions) {
+	r.leavingUntil = now + leavingTTL
+	out.Observations = append(out.Observations, view.Observation{Leaving: r.id})
+	m.refuseAll(r, result.EndpointLeaving, out)
+}
+
+func (m *Machine) refuseAll(r *replica, code result.Code, out *Actions) {
+	for _, a := range r.all() {
+		m.dequeue(a)
+		m.refuse(a, code, out)
+	}
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -116,6 +116,8 @@
 	CancelledBeforeSend Code = 342
 	// SuspectBusy: another attempt of the same crash suspect is running.
 	SuspectBusy Code = 343
+	// RelayDeadline: the relay's queue of the replica cannot meet the budget.
+	RelayDeadline Code = 345
 	// OutcomeUnknown: the request was sent and no outcome is known.
 	OutcomeUnknown Code = 400
 	// IssuerUnreachable: the permit's host cannot be reached.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -58,6 +58,7 @@
 	{Code: StaleBelief, Name: "stale-belief", Meaning: "The host paused and refreshes its beliefs before it dispatches.", Action: "Internal."},
 	{Code: CancelledBeforeSend, Name: "cancelled-before-send", Meaning: "The dispatch was cancelled before its first byte was written.", Action: "Internal."},
 	{Code: SuspectBusy, Name: "suspect-busy", Meaning: "Another attempt of the same crash suspect is running.", Action: "Internal: tried again later."},
+	{Code: RelayDeadline, Name: "relay-deadline", Meaning: "The relay's queue of the replica cannot meet the budget.", Action: "Internal: another replica is tried."},
 	{Code: OutcomeUnknown, Name: "outcome-unknown", Meaning: "The request was sent and no outcome is known.", Action: "Do not repeat it; settle it with the endpoint's owner by the permit ID."},
 	{Code: IssuerUnreachable, Name: "issuer-unreachable", Meaning: "The permit's host cannot be reached.", Action: "Submit the same permit again later."},
 	{Code: IssuerReplaced, Name: "issuer-replaced", Meaning: "The permit's host restarted or was replaced.", Action: "Settle it with the endpoint's owner by the permit ID."},
--- a/internal/testsuite/testsuite.go
+++ b/internal/testsuite/testsuite.go
@@ -4,6 +4,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -22,6 +23,19 @@
 	rapid.Check(t, property)
 }
 
+// CheckN is Check with another number of runs than the library's default, unless
+// -rapid.checks is given.
+func CheckN(t *testing.T, runs int, property func(*rapid.T)) {
+	t.Helper()
+	if !isSet("rapid.checks") {
+		value := flag.Lookup("rapid.checks").Value // set directly: it is not given
+		previous := value.String()
+		mustSet(value, strconv.Itoa(runs))
+		defer mustSet(value, previous)
+	}
+	Check(t, property)
+}
+
 // RunSpecs runs the Ginkgo specs of a package in a fixed order.
 func RunSpecs(t *testing.T, name string) {
 	t.Helper()
@@ -42,6 +56,12 @@
 	}
 }
 
+func mustSet(value flag.Value, text string) {
+	if err := value.Set(text); err != nil {
+		panic(err)
+	}
+}
+
 func isSet(name string) bool {
 	set := false
 	flag.Visit(func(f *flag.Flag) { set = set || f.Name == name })
