--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -5,8 +5,10 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,10 +18,13 @@
 
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
-	"admission", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
-	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "view",
+	"admission", "capacity", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
+	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
 }
 
+// messagePackages hold messages that decision packages exchange with adapters.
+var messagePackages = []string{"../api", "peerwire", "platformapi"}
+
 // allowedStandard are the standard packages that a decision package may import.
 // None does I/O or starts a goroutine.
 var allowedStandard = map[string]bool{
@@ -32,6 +37,7 @@
 
 // allowedModules are the libraries that a decision package may import.
 var allowedModules = map[string]bool{
+	"github.com/gypsumlug/gypsumlug/api":      true, // Messages only.
 	"github.com/cespare/xxhash/v2":            true,
 	"github.com/dgryski/go-rendezvous":        true,
 	"github.com/rotisserie/eris":              true,
@@ -48,6 +54,9 @@
 
 const internalPrefix = "github.com/gypsumlug/gypsumlug/internal/"
 
+// purePackages returns the directories, below internal, that must be pure.
+func purePackages() []string { return slices.Concat(decisionPackages, messagePackages) }
+
 func sourceFiles(t *testing.T, pkg string) []string {
 	t.Helper()
 	all, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
@@ -65,17 +74,17 @@
 
 func TestDecisionPackagesImportNoAdapter(t *testing.T) {
 	decision := make(map[string]bool)
-	for _, p := range decisionPackages {
-		decision[internalPrefix+p] = true
+	for _, p := range purePackages() {
+		decision[path.Join(internalPrefix, p)] = true
 	}
-	for _, pkg := range decisionPackages {
+	for _, pkg := range purePackages() {
 		for _, file := range sourceFiles(t, pkg) {
 			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
 			for _, spec := range parsed.Imports {
-				path, _ := strconv.Unquote(spec.Path.Value)
-				if !allowedStandard[path] && !allowedModules[path] && !decision[path] {
-					t.Errorf("%s imports %s, which a decision package may not", file, path)
+				name, _ := strconv.Unquote(spec.Path.Value)
+				if !allowedStandard[name] && !allowedModules[name] && !decision[name] {
+					t.Errorf("%s imports %s, which a decision package may not", file, name)
 				}
 			}
 		}
@@ -83,7 +92,7 @@
 }
 
 func TestDecisionPackagesReadNoClock(t *testing.T) {
-	for _, pkg := range decisionPackages {
+	for _, pkg := range purePackages() {
 		for _, file := range sourceFiles(t, pkg) {
 			source, err := os.ReadFile(file)
 			NewWithT(t).Expect(err).NotTo(HaveOccurred())
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -88,6 +88,10 @@
 	NotFound Code = 326
 	// WrongMediaType: the body is not application/json.
 	WrongMediaType Code = 327
+	// BodyTimeout: the body did not arrive in time.
+	BodyTimeout Code = 328
+	// HostUnreachable: the client could not reach the host, and nothing was sent.
+	HostUnreachable Code = 329
 	// RelayQueueFull: the relay's queue of the replica is full.
 	RelayQueueFull Code = 330
 	// EndpointShed: the endpoint refused because it is overloaded.
@@ -116,6 +120,8 @@
 	CancelledBeforeSend Code = 342
 	// SuspectBusy: another attempt of the same crash suspect is running.
 	SuspectBusy Code = 343
+	// PeerQueueFull: the send queue of the peer is full and nothing was sent to it.
+	PeerQueueFull Code = 344
 	// RelayDeadline: the relay's queue of the replica cannot meet the budget.
 	RelayDeadline Code = 345
 	// OutcomeUnknown: the request was sent and no outcome is known.
@@ -176,6 +182,8 @@
 	DocumentTooLarge Code = 616
 	// PlatformUnavailable: the platform's configuration service does not answer.
 	PlatformUnavailable Code = 617
+	// DocumentUnavailable: no source has the documents of a manifest.
+	DocumentUnavailable Code = 618
 	// FrameInvalid: a peer frame is torn or cannot be decoded.
 	FrameInvalid Code = 620
 	// FrameTooLarge: a peer frame is over the size limit.
