--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -122,6 +122,8 @@
 	SuspectBusy Code = 343
 	// PeerQueueFull: the send queue of the peer is full and nothing was sent to it.
 	PeerQueueFull Code = 344
+	// RelayDeadline: the relay's queue of the replica cannot meet the budget.
+	RelayDeadline Code = 345
 	// OutcomeUnknown: the request was sent and no outcome is known.
 	OutcomeUnknown Code = 400
 	// IssuerUnreachable: the permit's host cannot be reached.
