Give relays connections before endpoints are assigned

Cause: a view without an assignment gave each host one connection an endpoint, so that a slot idled while attempts waited.

--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -44,7 +44,8 @@
 }
 
 // configure takes over what the view says of an endpoint; e is nil if it left
-// the configuration. An endpoint at a new address is a new process.
+// the configuration. An endpoint at a new address is a new process. If the view
+// assigns an endpoint to no host, each uses connections for its slots alone.
 func (m *Machine) configure(r *replica, e *config.Endpoint) {
 	r.known = e != nil
 	r.viewLeaving = m.view.Leaving[r.id]
@@ -54,6 +55,9 @@
 	relays := m.view.Relays[r.id]
 	r.assigned = slices.Contains(relays, m.view.Self.Incarnation.Address)
 	r.share = m.view.Share[r.id]
+	if len(relays) == 0 {
+		r.share = min(e.Slots, e.MaxConnections)
+	}
 	count := len(relays)
 	if !r.assigned {
 		count++
