Count simultaneous faults of an endpoint once

Cause: the loss of a relay ends all its attempts as unknown at one instant, and five of them ejected an endpoint that is not to blame. Change: faults at the same instant count as one.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -149,7 +149,12 @@
 	r.latencyAt = now
 }
 
+// fail counts a fault. Faults at the same instant have one cause, such as the
+// loss of the relay that carried the attempts, and count once.
 func (r *replica) fail(now time.Duration) {
+	if r.failures > 0 && r.failedAt == now {
+		return
+	}
 	if now-r.failedAt > forgiveAfter {
 		r.ejections = 0
 	}
