Compare the documented HTTP statuses with the code

Cause: docs/API.md lists a status for many codes, and nothing held it to the code.

Change: a test reads the table of the page and compares it with the mapping.

Conclusion: page and code agree.

--- /dev/null
+++ b/internal/callerapi/status_test.go
@@ -0,0 +1,34 @@
+package callerapi
+
+import (
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+var statusRow = regexp.MustCompile(`(?m)^\| (\d{3}) \| (\d{3}(?:, \d{3})*)(?: \(.*\))? \|$`)
+
+// TestStatusesAreThoseOfThePage compares the statuses that differ from those of
+// their class with the table in docs/API.md.
+func TestStatusesAreThoseOfThePage(t *testing.T) {
+	g := NewWithT(t)
+	page, err := os.ReadFile("../../docs/API.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	documented := make(map[result.Code]int)
+	for _, row := range statusRow.FindAllStringSubmatch(string(page), -1) {
+		status, err := strconv.Atoi(row[1])
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, text := range strings.Split(row[2], ", ") {
+			code, err := strconv.ParseUint(text, 10, 16)
+			g.Expect(err).NotTo(HaveOccurred())
+			documented[result.Code(code)] = status
+		}
+	}
+	g.Expect(documented).To(Equal(statuses))
+}
