Compose the control machine: spread, hints, readiness

Cause: hosts must take up a revision within seconds without the platform's read rate growing with the fleet, tell each other of leaving endpoints, and not be ready on old beliefs after a start or a pause.

--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/configuration"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/roster"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// Status describes the machine for operators. It shares nothing that changes.
+type Status struct {
+	Self view.Host
+	// Ready tells whether the host takes requests; Reason says why not.
+	Ready  bool
+	Reason result.Code
+	// Alone tells that neither a peer nor the platform has answered, and that the
+	// host serves with what it had.
+	Alone bool
+	// PlatformUp tells whether the last call to the platform succeeded.
+	PlatformUp bool
+	// Watching tells whether this host watches the platform for its data centre.
+	Watching      bool
+	Configuration ConfigurationStatus
+	// Hosts are the known hosts without this one, sorted by address.
+	Hosts []roster.Entry
+	// Leaving are the draining endpoints, sorted by ID.
+	Leaving []LeavingEndpoint
+	// Suspects are the requests that crashed endpoints, sorted.
+	Suspects []Suspect
+	Counts   Counts
+}
+
+// ConfigurationStatus describes the configuration of this host.
+type ConfigurationStatus struct {
+	Revision     config.Revision
+	ManifestHash string
+	// Candidate is the revision being fetched, or zero; Missing is the number of
+	// its documents that are not there yet.
+	Candidate config.Revision
+	Missing   int
+	Refusals  []configuration.Refusal
+	// LastRefusal is the last refusal, or nil.
+	LastRefusal *result.Error
+}
+
+// LeavingEndpoint is an endpoint that gets no new work for TTL.
+type LeavingEndpoint struct {
+	Endpoint string
+	TTL      time.Duration
+}
+
+// Suspect is a request that crashed endpoints.
+type Suspect struct {
+	Fingerprint view.Fingerprint
+	Degree      view.Suspicion
+}
+
+// Status returns the state at now.
+func (m *Machine) Status(now time.Duration) Status {
+	reason := m.reason()
+	return Status{
+		Self:       m.self,
+		Ready:      reason == 0,
+		Reason:     reason,
+		Alone:      m.sync.alone,
+		PlatformUp: m.fetch.platformUp,
+		Watching:   m.fetch.watching,
+		Configuration: ConfigurationStatus{
+			Revision:     m.store.Revision(),
+			ManifestHash: m.store.ManifestHash(),
+			Candidate:    m.store.Candidate(),
+			Missing:      len(m.store.Wanted()),
+			Refusals:     m.store.Refusals(),
+			LastRefusal:  m.store.LastRefusal(),
+		},
+		Hosts:    m.roster.Entries(now),
+		Leaving:  m.leavingStatus(now),
+		Suspects: m.suspectStatus(now),
+		Counts:   m.counts,
+	}
+}
+
+func (m *Machine) leavingStatus(now time.Duration) []LeavingEndpoint {
+	out := make([]LeavingEndpoint, 0, len(m.leaving.until))
+	for endpoint, until := range m.leaving.until {
+		if now < until {
+			out = append(out, LeavingEndpoint{Endpoint: endpoint, TTL: until - now})
+		}
+	}
+	slices.SortFunc(out, func(a, b LeavingEndpoint) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+func (m *Machine) suspectStatus(now time.Duration) []Suspect {
+	degrees := m.cfg.Quarantine.Degrees(now)
+	out := make([]Suspect, 0, len(degrees))
+	for f, degree := range degrees {
+		out = append(out, Suspect{Fingerprint: f, Degree: degree})
+	}
+	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,12 +29,15 @@
 
 const (
 	// SuspectAfter is how long a host is believed alive after it was heard.
-	SuspectAfter = 45 * time.Second
+	SuspectAfter = 90 * time.Second
 	// ForgetAfter is how long a silent host that the platform doesn't list is
 	// still probed.
 	ForgetAfter = 10 * time.Minute
 	// MaxHosts bounds the known hosts.
 	MaxHosts = 4096
+	// neverFailed is before any time at which a host can have been heard, which
+	// may be before this process started.
+	neverFailed = -SuspectAfter
 	// changeTransmissions is how often a change of a host is passed on before
 	// other hosts' news.
 	changeTransmissions = 6
@@ -60,10 +63,14 @@
 	heard time.Duration
 	// until is when the belief that it is alive ends.
 	until time.Duration
+	// failed is when the host could last not be reached; only later word of it
+	// counts.
+	failed time.Duration
 	// seen is when the host was last heard of, or last listed.
 	seen         time.Duration
 	everHeard    bool
 	listed       bool
+	seed         bool
 	alive        bool
 	passOn       int
 	retired      uint64
@@ -96,6 +103,16 @@
 	r.dirty = true
 }
 
+// SetSeeds adds addresses from the host's settings, which are probed like listed
+// hosts.
+func (r *Roster) SetSeeds(now time.Duration, addresses []string) {
+	for _, address := range addresses {
+		if m := r.member(now, address); m != nil {
+			m.seed = true
+		}
+	}
+}
+
 // Heard takes what a host says of itself in a heartbeat.
 func (r *Roster) Heard(now time.Duration, h *peerwire.Heartbeat) {
 	m := r.member(now, h.From.Address)
@@ -145,13 +162,15 @@
 	if !replaced {
 		said.Revision = max(said.Revision, m.host.Revision)
 	}
-	if !m.alive || replaced || said.State != m.host.State || said.DataCentre != m.host.DataCentre {
+	m.heard = heard
+	if heard > m.failed {
+		m.until = max(m.until, heard+SuspectAfter)
+	}
+	if (!m.alive && now < m.until) || replaced || said.State != m.host.State || said.DataCentre != m.host.DataCentre {
 		m.passOn = changeTransmissions
 		r.dirty = true
 	}
 	m.host = said
-	m.heard = heard
-	m.until = max(m.until, heard+SuspectAfter)
 	m.seen = now
 	m.everHeard = true
 }
@@ -167,7 +186,7 @@
 	if len(r.hosts) >= MaxHosts {
 		return nil
 	}
-	m := &member{host: view.Host{Incarnation: view.Incarnation{Address: address}}, seen: now}
+	m := &member{host: view.Host{Incarnation: view.Incarnation{Address: address}}, seen: now, failed: neverFailed}
 	r.hosts[address] = m
 	r.dirty = true
 	return m
@@ -184,6 +203,18 @@
 	}
 }
 
+// Unreachable notes that a connection to a host could not be opened. It isn't
+// believed alive until it was heard after that; others judge for themselves.
+func (r *Roster) Unreachable(now time.Duration, address string) {
+	m := r.hosts[address]
+	if m == nil || !m.alive {
+		return
+	}
+	m.failed = now
+	m.until = now
+	r.dirty = true
+}
+
 // Tick ends beliefs that are too old and forgets hosts.
 func (r *Roster) Tick(now time.Duration) {
 	for address, m := range r.hosts {
@@ -192,7 +223,7 @@
 			m.alive = alive
 			r.dirty = true
 		}
-		if !alive && !m.listed && now-m.seen >= ForgetAfter {
+		if !alive && !m.listed && !m.seed && now-m.seen >= ForgetAfter {
 			delete(r.hosts, address)
 			r.dirty = true
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -77,6 +77,18 @@
 		r.Learn(time.Second, hint(1, 5, view.HostReady, 0))
 		r.Heard(2*time.Second, heartbeat(1, 6, view.HostReady))
 	}, 3*time.Second, uint64(6), view.HostReady),
+	Entry("unreachable, and only older word of it", func(r *roster.Roster) {
+		r.Heard(0, heartbeat(1, 5, view.HostReady))
+		r.Tick(time.Second)
+		r.Unreachable(5*time.Second, address(1))
+		r.Learn(6*time.Second, hint(1, 5, view.HostReady, 2*time.Second))
+	}, 7*time.Second, uint64(0), view.HostReady),
+	Entry("unreachable, and heard since", func(r *roster.Roster) {
+		r.Heard(0, heartbeat(1, 5, view.HostReady))
+		r.Tick(time.Second)
+		r.Unreachable(5*time.Second, address(1))
+		r.Learn(7*time.Second, hint(1, 5, view.HostReady, time.Second))
+	}, 7*time.Second, uint64(5), view.HostReady),
 	Entry("believed again after a pause", func(r *roster.Roster) {
 		r.Heard(0, heartbeat(1, 5, view.HostReady))
 		r.Tick(time.Second)
@@ -180,7 +192,7 @@
 				}
 			}
 			r.Tick(0)
-			if r.Watches(revision) {
+			if r.Watches(revision, false) {
 				watchers++
 			}
 		}
--- a/internal/roster/sample.go
+++ b/internal/roster/sample.go
@@ -13,7 +13,9 @@
 	// RemotePeers is the number of heartbeats per interval to other data centres.
 	RemotePeers = 1
 	// HintsPerHeartbeat bounds the hosts that a heartbeat tells of.
-	HintsPerHeartbeat = 24
+	HintsPerHeartbeat = 32
+	// hintChoices is how many hosts are drawn for one hint.
+	hintChoices = 5
 	// probeOneIn is how rarely a silent host is probed: once in so many samples.
 	probeOneIn = 4
 )
@@ -66,8 +68,9 @@
 }
 
 // Hints returns a bounded sample of live hosts for a heartbeat: recent changes
-// first, then half of the same data centre and half of others. Of two hosts
-// drawn, the one heard more recently is told of.
+// first, then half of the same data centre and half of others. Of the
+// hosts drawn for a hint, the one heard most recently is told of, since others
+// are the likelier to have older news of it.
 func (r *Roster) Hints(now time.Duration) []peerwire.HostHint {
 	chosen := make([]*member, 0, HintsPerHeartbeat)
 	chosen = r.changed(chosen, HintsPerHeartbeat/2)
@@ -116,9 +119,11 @@
 		if len(from) == 0 || len(out)-first == len(from) {
 			return out
 		}
-		a, b := from[r.rng.IntN(len(from))], from[r.rng.IntN(len(from))]
-		if b.heard > a.heard {
-			a = b
+		a := from[r.rng.IntN(len(from))]
+		for range hintChoices - 1 {
+			if b := from[r.rng.IntN(len(from))]; b.heard > a.heard {
+				a = b
+			}
 		}
 		if !contains(out, a) {
 			out = append(out, a)
