--- /dev/null
+++ b/internal/load/hosts.go
@@ -0,0 +1,216 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gypsumlug/gypsumlug/internal/daemon"
+	"github.com/gypsumlug/gypsumlug/internal/platformapi"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/settings"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+)
+
+const (
+	readyTimeout  = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
+	stopTimeout   = 10 * time.Second
+	loopbackAny   = "127.0.0.1:0"
+	metricsPath   = "/metrics"
+	// maxMetricsBytes bounds what is read of a host's metrics.
+	maxMetricsBytes = 16 << 20
+)
+
+// hosts are the daemons of an embedded run.
+type hosts struct {
+	daemons []*daemon.Daemon
+	admin   []string
+}
+
+// HostOptions describe embedded hosts.
+type HostOptions struct {
+	// Platform is the IP and port of the platform.
+	Platform string
+	// DataCentres are given to the hosts in turn.
+	DataCentres []string
+	Hosts       int
+	// List makes the platform list the hosts before they start.
+	List func([]platformapi.HostEntry)
+}
+
+// StartHosts starts daemons on loopback that read the deployment's platform, and
+// waits until all are ready.
+func StartHosts(ctx context.Context, d *standin.Deployment, o Options) (*Fleet, error) {
+	return StartHostsAt(ctx, HostOptions{
+		Platform:    d.Platform.Address(),
+		DataCentres: workloads[o.Deployment].dataCentres,
+		Hosts:       o.Hosts,
+		List:        d.Platform.SetHosts,
+	})
+}
+
+// StartHostsAt starts daemons on loopback that read any platform, and waits until
+// all are ready.
+func StartHostsAt(ctx context.Context, o HostOptions) (*Fleet, error) {
+	all, err := o.settings()
+	if err != nil {
+		return nil, err
+	}
+	o.List(hostEntries(all))
+	h := &hosts{}
+	fleet, err := h.startAll(ctx, all)
+	if err != nil {
+		h.stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (h *hosts) startAll(ctx context.Context, all []settings.Settings) (*Fleet, error) {
+	fleet := &Fleet{Close: h.stop, Reasons: h.reasons}
+	for _, s := range all {
+		if err := h.start(s); err != nil {
+			return nil, err
+		}
+		target, err := newHostTarget(h.daemons[len(h.daemons)-1].CallerAddress())
+		if err != nil {
+			return nil, err
+		}
+		fleet.Targets = append(fleet.Targets, target)
+	}
+	return fleet, h.awaitReady(ctx)
+}
+
+func (h *hosts) start(s settings.Settings) error {
+	host, err := daemon.Start(s, telemetry.NewLogger(io.Discard, s.LogLevel))
+	if err != nil {
+		return err
+	}
+	h.daemons = append(h.daemons, host)
+	h.admin = append(h.admin, s.AdminAddress)
+	return nil
+}
+
+func (h *hosts) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, d := range h.daemons {
+		// What a host leaves unfinished at the end of a run is not measured.
+		_ = d.Stop(ctx)
+	}
+}
+
+func (h *hosts) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, d := range h.daemons {
+		for !d.Status().Ready {
+			pause(ctx, readyInterval)
+			if ctx.Err() != nil {
+				return result.Errorf(result.NotReady, "host %s is not ready after %s", d.CallerAddress(), readyTimeout)
+			}
+		}
+	}
+	return nil
+}
+
+// settings gives every host its addresses and, in turn, a data centre.
+func (o HostOptions) settings() ([]settings.Settings, error) {
+	out := make([]settings.Settings, o.Hosts)
+	for i := range out {
+		ports, err := freeAddresses(2)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = settings.Settings{
+			PeerAddress:   ports[0],
+			CallerAddress: loopbackAny,
+			AdminAddress:  ports[1],
+			DataCentre:    o.DataCentres[i%len(o.DataCentres)],
+			Platform:      []string{"http://" + o.Platform},
+			LogLevel:      "error",
+			StopTimeoutMS: int(stopTimeout.Milliseconds()),
+			StartWaitMS:   settings.DefaultStartWaitMS,
+		}
+	}
+	return out, nil
+}
+
+func hostEntries(all []settings.Settings) []platformapi.HostEntry {
+	entries := make([]platformapi.HostEntry, len(all))
+	for i, s := range all {
+		entries[i] = platformapi.HostEntry{Address: s.PeerAddress, DataCentre: s.DataCentre, State: platformapi.HostLive}
+	}
+	return entries
+}
+
+// freeAddresses returns loopback addresses that nothing listens on now.
+func freeAddresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", loopbackAny)
+		if err != nil {
+			return nil, eris.Wrap(err, "no free address")
+		}
+		defer func() { _ = l.Close() }()
+		out[i] = l.Addr().String()
+	}
+	return out, nil
+}
+
+// reasons returns the sum over all hosts of their counters.
+func (h *hosts) reasons(ctx context.Context) (map[string]float64, error) {
+	sum := make(map[string]float64)
+	for _, address := range h.admin {
+		if err := addCounters(ctx, address, sum); err != nil {
+			return nil, err
+		}
+	}
+	return sum, nil
+}
+
+func addCounters(ctx context.Context, address string, sum map[string]float64) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+metricsPath, http.NoBody)
+	if err != nil {
+		return eris.Wrap(err, "metrics request cannot be made")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "metrics cannot be read")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("metrics cannot be read: status %d", response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxMetricsBytes))
+	if err != nil {
+		return eris.Wrap(err, "metrics cannot be read")
+	}
+	for _, line := range strings.Split(string(body), "\n") {
+		addCounter(line, sum)
+	}
+	return nil
+}
+
+// counterLine is a counter of the project in Prometheus text format.
+var counterLine = regexp.MustCompile(`^(gypsumlug_\w+_total(?:\{.*\})?) (\S+)$`)
+
+func addCounter(line string, sum map[string]float64) {
+	match := counterLine.FindStringSubmatch(line)
+	if match == nil {
+		return
+	}
+	if value, err := strconv.ParseFloat(match[2], 64); err == nil {
+		sum[match[1]] += value
+	}
+}
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -5,17 +5,19 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 // sendPrimary dispatches the first attempt of a shard, unless the query is a
 // suspect with an attempt in flight.
 func (q *Query) sendPrimary(now time.Duration, i int) {
-	if q.suspect && len(q.byAttempt) > 0 {
+	s := &q.shards[i]
+	if q.suspect && !q.mayRunAlone(now, s) {
 		q.held = true
 		return
 	}
-	s := &q.shards[i]
 	endpoint, ok := q.p.Replicas.Pick(now, s.replicas, s.gone)
 	if !ok {
 		q.giveUp(s, result.MissingNoReplica)
@@ -25,13 +27,28 @@
 	q.send(now, i, endpoint)
 }
 
+// mayRunAlone reports whether a suspect may be sent to a shard now: it has no
+// other attempt in flight and cannot take the shard's last replica down.
+func (q *Query) mayRunAlone(now time.Duration, s *shard) bool {
+	if len(q.byAttempt) > 0 {
+		return false
+	}
+	eligible := 0
+	for _, id := range s.replicas {
+		if q.p.Replicas.Eligible(now, id) {
+			eligible++
+		}
+	}
+	return quarantine.MayRun(view.Suspected, eligible)
+}
+
 func (q *Query) send(now time.Duration, i int, endpoint string) {
 	s := &q.shards[i]
 	q.nextAttempt++
 	q.dispatched++
 	s.waiting = false
 	s.open = append(s.open, attempt{number: q.nextAttempt, endpoint: endpoint, alone: q.suspect})
-	s.hedgeAt = now + q.p.Replicas.HedgeDelay(q.p.Service)
+	s.hedgeAt = q.nextHedge(now, s)
 	q.byAttempt[q.nextAttempt] = i
 	q.out.Dispatch = append(q.out.Dispatch, dispatch.Request{
 		Key:       dispatch.Key{Request: q.p.ID, Attempt: q.nextAttempt},
@@ -48,6 +65,14 @@
 	})
 }
 
+// nextHedge returns when the shard's next hedge is due, or zero.
+func (q *Query) nextHedge(now time.Duration, s *shard) time.Duration {
+	if s.hedges >= q.p.Service.Hedge.Max {
+		return 0
+	}
+	return now + q.p.Replicas.HedgeDelay(q.p.Service)
+}
+
 // attemptFailed decides what follows an attempt without a good reply.
 func (q *Query) attemptFailed(now time.Duration, i int, a attempt, r *dispatch.Reply) {
 	s := &q.shards[i]
@@ -124,7 +149,7 @@
 	if !s.waiting || now < s.retryAt {
 		return
 	}
-	if q.suspect && len(q.byAttempt) > 0 {
+	if q.suspect && !q.mayRunAlone(now, s) {
 		s.retryAt = now + retryBackoffMin
 		return
 	}
@@ -165,7 +190,7 @@
 func (q *Query) hedgeDue(now time.Duration, i int) {
 	s := &q.shards[i]
 	due := s.hedgeAt > 0 && now >= s.hedgeAt && len(s.open) > 0
-	if s.state != shardPending || !due || q.suspect || s.hedges >= q.p.Service.Hedge.Max {
+	if s.state != shardPending || !due || q.suspect {
 		return
 	}
 	s.hedgeAt = 0
@@ -182,11 +207,15 @@
 	q.send(now, i, endpoint)
 }
 
-// pickHedge prefers a replica without an open attempt. When each has one, the
-// hedge goes to any of them on another connection: a single slow attempt says
-// little about the endpoint.
+// pickHedge prefers a replica that was not tried, then one without an open
+// attempt. When each has one, the hedge goes to any of them on another
+// connection: a single slow attempt says little about the endpoint.
 func (q *Query) pickHedge(now time.Duration, s *shard) (string, bool) {
-	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(s.gone, s.busy())); ok {
+	busy := slices.Concat(s.gone, s.busy())
+	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(busy, s.tried)); ok {
+		return endpoint, true
+	}
+	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, busy); ok {
 		return endpoint, true
 	}
 	if len(s.open) < 2 {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -90,6 +90,8 @@
 	WrongMediaType Code = 327
 	// BodyTimeout: the body did not arrive in time.
 	BodyTimeout Code = 328
+	// HostUnreachable: the client could not reach the host, and nothing was sent.
+	HostUnreachable Code = 329
 	// RelayQueueFull: the relay's queue of the replica is full.
 	RelayQueueFull Code = 330
 	// EndpointShed: the endpoint refused because it is overloaded.
@@ -118,6 +120,10 @@
 	CancelledBeforeSend Code = 342
 	// SuspectBusy: another attempt of the same crash suspect is running.
 	SuspectBusy Code = 343
+	// PeerQueueFull: the send queue of the peer is full and nothing was sent to it.
+	PeerQueueFull Code = 344
+	// RelayDeadline: the relay's queue of the replica cannot meet the budget.
+	RelayDeadline Code = 345
 	// OutcomeUnknown: the request was sent and no outcome is known.
 	OutcomeUnknown Code = 400
 	// IssuerUnreachable: the permit's host cannot be reached.
