Drive the three machines from the daemon

Control runs on one goroutine, the coordinator and the relay behind a mutex each; peers, endpoints, platform, caller API and admin API are adapters around them.

--- a/cmd/gypsumlugd/main.go
+++ b/cmd/gypsumlugd/main.go
@@ -8,8 +8,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/gypsumlug/gypsumlug/internal/daemon"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/version"
 )
 
 // Exit statuses of the daemon.
@@ -28,7 +28,7 @@
 
 // Run implements the command.
 func (versionCmd) Run() error {
-	fmt.Println(daemon.Version)
+	fmt.Println(version.String())
 	return nil
 }
 
--- a/internal/coordinator/permits.go
+++ b/internal/coordinator/permits.go
@@ -14,6 +14,9 @@
 // Mint issues permits. No endpoint is touched.
 func (m *Machine) Mint(now time.Duration, p api.PermitRequest) api.PermitAnswer {
 	m.advance(now)
+	if !m.view.Ready {
+		return api.RefusePermit(p, m.view.Reason.Error())
+	}
 	if code := m.refusal(p.Service, false); code != 0 {
 		return api.RefusePermit(p, code.Error())
 	}
--- a/internal/coordinator/queries.go
+++ b/internal/coordinator/queries.go
@@ -65,12 +65,13 @@
 	return m.take()
 }
 
-// refusal returns why the host does not take a request, or zero.
+// refusal returns why the host does not take a request, or zero. A host that
+// announced its stop goes on serving until Stop, since the balancer lags.
 func (m *Machine) refusal(name string, repeatable bool) result.Code {
 	switch s, x := m.service(name); {
 	case m.stopping:
 		return result.Stopping
-	case !m.view.Ready:
+	case !m.view.Ready && m.view.Reason != result.Stopping:
 		return m.view.Reason
 	case s == nil || x == nil:
 		return result.UnknownService
--- a/internal/coordinator/submits.go
+++ b/internal/coordinator/submits.go
@@ -78,10 +78,12 @@
 	code     result.Code
 	body     string
 	replayed bool
+	// dropped tells that the body was too large to keep.
+	dropped bool
 }
 
 func answerOf(d *permit.Decision) outcome {
-	return outcome{code: d.Code, body: d.Outcome, replayed: d.Verdict == permit.Replay}
+	return outcome{code: d.Code, body: d.Outcome, replayed: d.Verdict == permit.Replay, dropped: d.OutcomeDropped}
 }
 
 // begin takes a permit's first submit.
@@ -94,12 +96,7 @@
 	}
 	sub.deadline = now + budget(sub.service, s.BudgetMS)
 	sub.waiters = []waiter{{ticket: ticket, requestID: s.RequestID, deadline: sub.deadline}}
-	sub.suspicion = m.view.Suspects[m.cfg.Fingerprint(s.Service, s.Body)]
 	m.submissions[s.Permit] = sub
-	if sub.suspicion == view.Quarantined {
-		m.burn(now, sub, result.Quarantined)
-		return
-	}
 	sub.admission = m.requestID()
 	m.admitted[sub.admission] = sub
 	m.offer(now, admission.Request{ID: sub.admission, Service: s.Service, Caller: s.Caller, Budget: sub.deadline - now})
@@ -141,6 +138,7 @@
 		m.burn(now, s, result.ExpiredInQueue)
 		return
 	}
+	s.suspicion = m.view.Suspects[m.cfg.Fingerprint(s.service.Name, s.request.Body)]
 	keys, endpoint, code := m.pickForSubmit(now, s)
 	if code != 0 {
 		m.burn(now, s, code)
@@ -173,6 +171,9 @@
 		return keyrange.Range{}, "", result.NoReplica
 	}
 	shards := x.Snapshots[len(x.Snapshots)-1].Shards
+	if s.suspicion == view.Quarantined {
+		return keyrange.Range{}, "", result.Quarantined
+	}
 	i := slices.IndexFunc(shards, func(sh config.Shard) bool { return sh.Range.Contains(s.request.Key) })
 	if i < 0 {
 		return keyrange.Range{}, "", result.InvalidValue
@@ -323,16 +324,20 @@
 		Code:      o.code,
 		Name:      o.code.String(),
 		Class:     o.code.Class().String(),
-		Reason:    reason(o.code),
+		Reason:    o.reason(),
 		Outcome:   o.body,
 		Replayed:  o.replayed,
 	}})
 }
 
-// reason explains a code that is not complete.
-func reason(code result.Code) string {
-	if code.Class() == result.ClassComplete {
+// reason explains an outcome that is not complete or not whole.
+func (o outcome) reason() string {
+	switch {
+	case o.dropped:
+		return "the outcome was too large to keep"
+	case o.code.Class() == result.ClassComplete:
 		return ""
+	default:
+		return o.code.Error().Reason
 	}
-	return code.Error().Reason
 }
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/control"
+	"github.com/gypsumlug/gypsumlug/internal/peer"
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/platform"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
+	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+const (
+	// controlEvents bounds the events that wait for the control goroutine.
+	controlEvents = 1024
+	// fetchTimeout bounds a fetch from a peer.
+	fetchTimeout = 2 * time.Second
+)
+
+// controlEvent is one event for the control machine.
+type controlEvent func(now time.Duration) control.Actions
+
+// controlLoop drives the control machine from one goroutine, which owns it.
+type controlLoop struct {
+	clock    clock
+	machine  *control.Machine
+	platform *platform.Client
+	peers    *peer.Client
+	counters *telemetry.Counters
+	publish  func(*view.View)
+
+	ctx    context.Context
+	events chan controlEvent
+}
+
+func newControlLoop(c clock, self view.Host, seeds []string, startWait time.Duration) *controlLoop {
+	cfg := control.Config{Quarantine: quarantine.New(quarantine.Config{}), Seeds: seeds, StartWait: startWait}
+	return &controlLoop{
+		clock:   c,
+		machine: control.New(cfg, self, newRand()),
+		events:  make(chan controlEvent, controlEvents),
+	}
+}
+
+// run owns the machine until ctx ends.
+func (l *controlLoop) run(ctx context.Context) {
+	l.ctx = ctx
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events:
+			l.carryOut(e(l.clock.now()))
+		case <-timer.C:
+			l.carryOut(l.machine.Tick(l.clock.now()))
+		}
+		now := l.clock.now()
+		timer.Reset(max(0, l.machine.Next(now)-now))
+	}
+}
+
+// offer passes an event that may be lost, and counts those that are.
+func (l *controlLoop) offer(e controlEvent) {
+	select {
+	case l.events <- e:
+	default:
+		l.counters.Counter("gypsumlug_control_events_dropped_total").Inc()
+	}
+}
+
+// pass passes an event that ends a fetch, which must not be lost.
+func (l *controlLoop) pass(ctx context.Context, e controlEvent) {
+	select {
+	case l.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f on the control goroutine and waits for it. It reports false if ctx
+// ended first.
+func (l *controlLoop) ask(ctx context.Context, f func(now time.Duration)) bool {
+	done := make(chan struct{})
+	l.pass(ctx, func(now time.Duration) control.Actions {
+		f(now)
+		close(done)
+		return control.Actions{}
+	})
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// observe takes what traffic saw.
+func (l *controlLoop) observe(o view.Observation) {
+	l.offer(func(now time.Duration) control.Actions { return l.machine.Observe(now, o) })
+}
+
+func (l *controlLoop) heartbeat(h peerwire.Heartbeat) {
+	l.offer(func(now time.Duration) control.Actions { return l.machine.Heartbeat(now, h) })
+}
+
+// leave announces a planned stop.
+func (l *controlLoop) leave(ctx context.Context) {
+	l.pass(ctx, l.machine.Leave)
+}
+
+func (l *controlLoop) carryOut(a control.Actions) {
+	if a.View != nil {
+		l.publish(a.View)
+	}
+	for _, h := range a.Heartbeats {
+		l.peers.Post(peer.Message{To: h.To, Kind: peerwire.KindHeartbeat, Body: h.Message, Within: fetchTimeout})
+	}
+	for _, s := range a.FetchManifests {
+		go l.fetchManifest(s)
+	}
+	for _, w := range a.Watches {
+		go l.watch(w)
+	}
+	for _, f := range a.FetchDocuments {
+		go l.fetchDocument(f)
+	}
+	if a.FetchHosts {
+		go l.fetchHosts()
+	}
+}
+
+func (l *controlLoop) fetchManifest(s control.Source) {
+	ctx, cancel := context.WithTimeout(l.ctx, fetchTimeout)
+	defer cancel()
+	var data []byte
+	var err error
+	if s.Platform() {
+		data, err = l.platform.Manifest(ctx)
+	} else {
+		var m peerwire.Manifest
+		err = l.peers.Call(ctx, s.Peer, peerwire.KindManifestRequest, peerwire.ManifestRequest{}, &m)
+		data = m.Data
+	}
+	l.pass(l.ctx, func(now time.Duration) control.Actions { return l.machine.Manifest(now, s, data, err) })
+}
+
+func (l *controlLoop) watch(w control.Watch) {
+	data, err := l.platform.Watch(l.ctx, config.Revision(w.After), w.Wait)
+	source := control.Source{Watch: true}
+	l.pass(l.ctx, func(now time.Duration) control.Actions { return l.machine.Manifest(now, source, data, err) })
+}
+
+func (l *controlLoop) fetchDocument(f control.FetchDocument) {
+	ctx, cancel := context.WithTimeout(l.ctx, fetchTimeout)
+	defer cancel()
+	var data []byte
+	var err error
+	if f.Source.Platform() {
+		data, err = l.platform.Document(ctx, f.Hash)
+	} else {
+		var d peerwire.Document
+		err = l.peers.Call(ctx, f.Source.Peer, peerwire.KindDocumentRequest, peerwire.DocumentRequest{Hash: f.Hash}, &d)
+		data = d.Data
+	}
+	l.pass(l.ctx, func(now time.Duration) control.Actions {
+		return l.machine.Document(now, f.Source, f.Hash, data, err)
+	})
+}
+
+func (l *controlLoop) fetchHosts() {
+	ctx, cancel := context.WithTimeout(l.ctx, fetchTimeout)
+	defer cancel()
+	hosts, err := l.platform.Hosts(ctx)
+	l.pass(l.ctx, func(now time.Duration) control.Actions { return l.machine.Hosts(now, hosts, err) })
+}
--- a/internal/daemon/coordinator.go
+++ b/internal/daemon/coordinator.go
@@ -8,107 +8,149 @@
 	"github.com/gypsumlug/gypsumlug/api"
 	"github.com/gypsumlug/gypsumlug/internal/coordinator"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/query"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
-// carrier hands attempts to the relay of this host or of a peer.
+// carrier hands attempts to the relay of this host or of a peer, and submits to
+// the issuer of their permit.
 type carrier interface {
 	// carry dispatches attempts to a relay; to is empty for this host.
 	carry(to string, requests []dispatch.Request)
 	// withdraw cancels attempts at a relay.
 	withdraw(to string, cancels []dispatch.Cancel)
+	// forward asks the issuer of a permit, within the budget.
+	forward(f coordinator.Forward) api.SubmitAnswer
 }
 
 // coordinatorLoop drives the coordinator machine.
 //
-// Concurrency: mu guards machine, waiting, ticket and wake. Actions are carried
-// out without mu.
+// Concurrency: waitMu guards the maps of waiting callers, which the goroutines
+// of callers and those that carry out actions share.
 type coordinatorLoop struct {
-	clock    clock
+	*loop[coordinator.Actions]
+	machine  *coordinator.Machine
 	carrier  carrier
-	observe  func(view.Observation)
 	counters *telemetry.Counters
-	wakeup   wakeup
+	observe  func(view.Observation)
 
-	mu      sync.Mutex
-	machine *coordinator.Machine
-	queries map[coordinator.Ticket]chan api.QueryAnswer
+	waitMu  sync.Mutex
 	ticket  coordinator.Ticket
-	wake    time.Duration
-}
-
-// step feeds one event to the machine and carries out its actions.
-func (l *coordinatorLoop) step(event func(now time.Duration) coordinator.Actions) {
-	l.mu.Lock()
-	now := l.clock.now()
-	actions := event(now)
-	next := l.machine.Next(now)
-	earlier := next < l.wake
-	l.wake = next
-	l.mu.Unlock()
-	if earlier {
-		l.wakeup.signal()
-	}
-	l.carryOut(actions)
-}
-
-func (l *coordinatorLoop) run(ctx context.Context) {
-	runTicks(ctx, l.clock, l.wakeup, l.nextWake, func() { l.step(l.machine.Tick) })
+	queries map[coordinator.Ticket]chan api.QueryAnswer
+	submits map[coordinator.Ticket]chan api.SubmitAnswer
 }
 
-func (l *coordinatorLoop) nextWake() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.wake
+func newCoordinatorLoop(c clock, self view.Incarnation, counters *telemetry.Counters) *coordinatorLoop {
+	machine := coordinator.New(coordinator.Config{Self: self, Fingerprint: quarantine.Fingerprint}, newRand())
+	l := &coordinatorLoop{
+		machine:  machine,
+		counters: counters,
+		queries:  make(map[coordinator.Ticket]chan api.QueryAnswer),
+		submits:  make(map[coordinator.Ticket]chan api.SubmitAnswer),
+	}
+	l.loop = newLoop(c, machine.Next, machine.Tick, l.carryOutActions)
+	return l
 }
 
 func (l *coordinatorLoop) setView(v *view.View) {
 	l.step(func(now time.Duration) coordinator.Actions { return l.machine.SetView(now, v) })
 }
 
-func (l *coordinatorLoop) reply(r dispatch.Reply) {
-	l.counters.Code(telemetry.FamilyAttempts, r.Code)
-	l.step(func(now time.Duration) coordinator.Actions { return l.machine.Reply(now, r) })
+func (l *coordinatorLoop) replies(replies []dispatch.Reply) {
+	for _, r := range replies {
+		l.counters.Code(telemetry.FamilyAttempts, r.Code)
+		l.step(func(now time.Duration) coordinator.Actions { return l.machine.Reply(now, r) })
+	}
 }
 
 // query runs a caller's query until its answer or until the caller goes away.
 func (l *coordinatorLoop) query(ctx context.Context, q api.QueryRequest) api.QueryAnswer {
-	answer := make(chan api.QueryAnswer, 1)
-	var ticket coordinator.Ticket
-	l.step(func(now time.Duration) coordinator.Actions {
-		l.ticket++
-		ticket = l.ticket
-		l.queries[ticket] = answer
-		return l.machine.Query(now, ticket, q)
-	})
+	ticket, answer := register(l, l.queries)
+	l.step(func(now time.Duration) coordinator.Actions { return l.machine.Query(now, ticket, q) })
 	select {
 	case a := <-answer:
 		return a
 	case <-ctx.Done():
 		l.step(func(now time.Duration) coordinator.Actions { return l.machine.Hangup(now, ticket) })
-		l.forget(ticket)
-		return api.QueryAnswer{RequestID: q.RequestID, Code: result.Cancelled, Name: result.Cancelled.String(), Class: result.Cancelled.Class().String()}
+		forget(l, l.queries, ticket)
+		return api.RefuseQuery(q, result.Cancelled.Error())
+	}
+}
+
+// submit runs a caller's submit until its answer or until the caller goes away.
+// The request itself goes on.
+func (l *coordinatorLoop) submit(ctx context.Context, s api.SubmitRequest, forwarded bool) api.SubmitAnswer {
+	ticket, answer := register(l, l.submits)
+	l.step(func(now time.Duration) coordinator.Actions { return l.machine.Submit(now, ticket, s, forwarded) })
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		forget(l, l.submits, ticket)
+		return api.RefuseSubmit(s, result.StillRunning.Error())
 	}
 }
 
-func (l *coordinatorLoop) forget(t coordinator.Ticket) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.queries, t)
+func (l *coordinatorLoop) mint(p api.PermitRequest) api.PermitAnswer {
+	var answer api.PermitAnswer
+	l.read(func(now time.Duration) { answer = l.machine.Mint(now, p) })
+	l.counters.Code(telemetry.FamilyAnswers, answer.Code)
+	return answer
 }
 
-func (l *coordinatorLoop) carryOut(a coordinator.Actions) {
+func (l *coordinatorLoop) receive(h peerwire.Handover) peerwire.HandoverAnswer {
+	var answer peerwire.HandoverAnswer
+	l.read(func(now time.Duration) { answer = l.machine.Receive(now, h) })
+	return answer
+}
+
+func (l *coordinatorLoop) idle() bool {
+	idle := false
+	l.read(func(time.Duration) { idle = l.machine.Running() == 0 })
+	return idle
+}
+
+// register returns a new ticket and the channel that its answer comes on.
+func register[T any](l *coordinatorLoop, waiting map[coordinator.Ticket]chan T) (coordinator.Ticket, chan T) {
+	answer := make(chan T, 1)
+	l.waitMu.Lock()
+	defer l.waitMu.Unlock()
+	l.ticket++
+	waiting[l.ticket] = answer
+	return l.ticket, answer
+}
+
+// forget returns the channel of a ticket, or nil, and forgets it.
+func forget[T any](l *coordinatorLoop, waiting map[coordinator.Ticket]chan T, t coordinator.Ticket) chan T {
+	l.waitMu.Lock()
+	defer l.waitMu.Unlock()
+	answer := waiting[t]
+	delete(waiting, t)
+	return answer
+}
+
+func (l *coordinatorLoop) carryOutActions(a coordinator.Actions) {
 	for _, q := range a.Queries {
-		l.answer(q)
+		l.counters.Code(telemetry.FamilyAnswers, q.Answer.Code)
+		if answer := forget(l, l.queries, q.Ticket); answer != nil {
+			answer <- q.Answer
+		}
+	}
+	for _, s := range a.Submits {
+		l.answerSubmit(s.Ticket, s.Answer)
 	}
-	for _, batch := range groupDispatches(a.Dispatch) {
-		l.carrier.carry(batch.to, batch.requests)
+	for _, f := range a.Forwards {
+		go func() { l.answerSubmit(f.Ticket, l.carrier.forward(f)) }()
 	}
-	for _, batch := range groupCancels(a.Cancel) {
-		l.carrier.withdraw(batch.to, batch.cancels)
+	for _, b := range groupDispatches(a.Dispatch) {
+		l.carrier.carry(b.to, b.requests)
+	}
+	for _, b := range groupCancels(a.Cancel) {
+		l.carrier.withdraw(b.to, b.cancels)
 	}
 	for _, o := range a.Observations {
 		l.observe(o)
@@ -118,14 +160,10 @@
 	}
 }
 
-func (l *coordinatorLoop) answer(q coordinator.QueryAnswer) {
-	l.counters.Code(telemetry.FamilyAnswers, q.Answer.Code)
-	l.mu.Lock()
-	waiting := l.queries[q.Ticket]
-	delete(l.queries, q.Ticket)
-	l.mu.Unlock()
-	if waiting != nil {
-		waiting <- q.Answer
+func (l *coordinatorLoop) answerSubmit(t coordinator.Ticket, a api.SubmitAnswer) {
+	l.counters.Code(telemetry.FamilyAnswers, a.Code)
+	if answer := forget(l, l.submits, t); answer != nil {
+		answer <- a
 	}
 }
 
@@ -153,18 +191,10 @@
 }
 
 func groupDispatches(routed []coordinator.Routed) []dispatchBatch {
-	var out []dispatchBatch
-	position := make(map[string]int)
-	for _, r := range routed {
-		i, ok := position[r.To]
-		if !ok {
-			i = len(out)
-			position[r.To] = i
-			out = append(out, dispatchBatch{to: r.To})
-		}
-		out[i].requests = append(out[i].requests, r.Request)
-	}
-	return out
+	return group(routed,
+		func(r coordinator.Routed) string { return r.To },
+		func(to string) dispatchBatch { return dispatchBatch{to: to} },
+		func(b *dispatchBatch, r coordinator.Routed) { b.requests = append(b.requests, r.Request) })
 }
 
 // cancelBatch holds the cancellations of one step for one relay.
@@ -174,16 +204,8 @@
 }
 
 func groupCancels(routed []coordinator.RoutedCancel) []cancelBatch {
-	var out []cancelBatch
-	position := make(map[string]int)
-	for _, r := range routed {
-		i, ok := position[r.To]
-		if !ok {
-			i = len(out)
-			position[r.To] = i
-			out = append(out, cancelBatch{to: r.To})
-		}
-		out[i].cancels = append(out[i].cancels, r.Cancel)
-	}
-	return out
+	return group(routed,
+		func(r coordinator.RoutedCancel) string { return r.To },
+		func(to string) cancelBatch { return cancelBatch{to: to} },
+		func(b *cancelBatch, r coordinator.RoutedCancel) { b.cancels = append(b.cancels, r.Cancel) })
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,31 +4,28 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/gypsumlug/gypsumlug/api"
-	"github.com/gypsumlug/gypsumlug/internal/callerapi"
-	"github.com/gypsumlug/gypsumlug/internal/coordinator"
-	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/endpointhttp"
+	"github.com/gypsumlug/gypsumlug/internal/peer"
 	"github.com/gypsumlug/gypsumlug/internal/platform"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/settings"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+	"github.com/gypsumlug/gypsumlug/internal/version"
 	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
-// Version is the version of the daemon.
-const Version = "0.1.0"
-
 // Daemon is one running host.
 type Daemon struct {
 	settings settings.Settings
@@ -36,114 +33,81 @@
 	clock    clock
 	self     view.Host
 	counters *telemetry.Counters
+	peerSet  *metrics.Set
 
 	coordinator *coordinatorLoop
+	relay       *relayLoop
+	control     *controlLoop
 	endpoints   *endpointhttp.Client
 	platform    *platform.Client
+	peers       *peer.Client
+	peerServer  *peer.Server
 
-	callerListener net.Listener
-	callerServer   *http.Server
+	callers httpServer
+	admin   httpServer
+	peerL   net.Listener
 
+	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
-
-	viewMu sync.RWMutex
-	view   *view.View
+	view    atomic.Pointer[view.View]
 }
 
 // Start opens the listeners and starts the loops of one host. The caller ends
-// it with Stop.
+// it with Stop or Kill.
 func Start(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{
-		settings: s,
-		log:      log,
-		clock:    newClock(),
-		counters: telemetry.NewCounters(),
-		cancel:   cancel,
-		view:     &view.View{Reason: result.NotReady},
-	}
-	d.self = view.Host{
-		Incarnation: view.Incarnation{Address: s.PeerAddress, Start: randomStart()},
-		DataCentre:  s.DataCentre,
-	}
-	d.endpoints = endpointhttp.New(endpointhttp.Options{})
-	d.platform = platform.New(platform.Options{Addresses: platformAddresses(s.Platform)})
-	d.coordinator = d.newCoordinator()
+	d := &Daemon{settings: s, log: log, clock: newClock(), counters: telemetry.NewCounters(), peerSet: metrics.NewSet()}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.view.Store(&view.View{Reason: result.NotReady})
 	if err := d.listen(); err != nil {
-		cancel()
+		d.closeListeners()
+		return nil, err
+	}
+	d.build()
+	if err := d.serve(); err != nil {
+		d.Kill()
 		return nil, err
 	}
-	d.running.Go(func() { d.coordinator.run(ctx) })
-	d.running.Go(func() { d.pollPlatform(ctx) })
+	log.Info().Str("peer", d.PeerAddress()).Str("caller", d.CallerAddress()).Str("admin", d.AdminAddress()).
+		Str("data_centre", s.DataCentre).Str("version", version.String()).Msg("host started")
 	return d, nil
 }
 
-// randomStart returns the random number that tells incarnations apart.
-func randomStart() uint64 {
-	var b [8]byte
-	_, _ = crand.Read(b[:])
-	return binary.BigEndian.Uint64(b[:]) | 1
-}
-
-// platformAddresses returns the IP and port of base addresses.
-func platformAddresses(bases []string) []string {
-	out := make([]string, 0, len(bases))
-	for _, b := range bases {
-		out = append(out, strings.TrimPrefix(strings.TrimSuffix(b, "/"), "http://"))
+// build makes the loops and adapters; the listeners are open.
+func (d *Daemon) build() {
+	d.self = view.Host{
+		Incarnation: view.Incarnation{Address: d.PeerAddress(), Start: randomStart()},
+		DataCentre:  d.settings.DataCentre,
 	}
-	return out
+	config := peer.Config{Self: d.PeerAddress(), Metrics: d.peerSet}
+	d.platform = platform.New(platform.Options{Addresses: platformAddresses(d.settings.Platform), OnCall: d.countPlatformCall})
+	d.peers = peer.NewClient(config, d.peerBroken)
+	d.peerServer = peer.NewServer(config, peerHandler{d})
+	d.control = newControlLoop(d.clock, d.self, d.settings.Peers, milliseconds(d.settings.StartWaitMS))
+	d.control.platform, d.control.peers, d.control.counters, d.control.publish = d.platform, d.peers, d.counters, d.publish
+	d.relay = newRelayLoop(d.clock, d.counters)
+	d.endpoints = endpointhttp.New(d.endpointOptions())
+	d.relay.endpoints, d.relay.deliver, d.relay.observe = d.endpoints, d.deliver, d.control.observe
+	d.coordinator = newCoordinatorLoop(d.clock, d.self.Incarnation, d.counters)
+	d.coordinator.carrier, d.coordinator.observe = d, d.control.observe
 }
 
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(randomStart(), randomStart())) }
-
-func (d *Daemon) newCoordinator() *coordinatorLoop {
-	machine := coordinator.New(coordinator.Config{
-		Self:        d.self.Incarnation,
-		Fingerprint: func(string, string) view.Fingerprint { return 0 },
-	}, newRand())
-	return &coordinatorLoop{
-		clock:    d.clock,
-		carrier:  d,
-		observe:  func(view.Observation) {},
-		counters: d.counters,
-		wakeup:   newWakeup(),
-		machine:  machine,
-		queries:  make(map[coordinator.Ticket]chan api.QueryAnswer),
-	}
+// publish hands a view to traffic, to the relay first, so that it knows every
+// endpoint that the coordinator dispatches to.
+func (d *Daemon) publish(v *view.View) {
+	old := d.view.Swap(v)
+	d.relay.setView(v)
+	d.coordinator.setView(v)
+	d.logView(old, v)
 }
 
-func (d *Daemon) listen() error {
-	listener, err := net.Listen("tcp", d.settings.CallerAddress)
-	if err != nil {
-		return eris.Wrap(err, "listen for callers")
+func (d *Daemon) logView(old, v *view.View) {
+	if old.Ready != v.Ready || old.Reason != v.Reason {
+		d.log.Info().Bool("ready", v.Ready).Stringer("reason", v.Reason).Msg("readiness changed")
 	}
-	handler, err := callerapi.New(d, callerapi.Options{
-		Refused: func(c result.Code) { d.counters.Code(telemetry.FamilyAnswers, c) },
-	})
-	if err != nil {
-		return eris.Wrap(err, "build the caller API")
+	if v.Bundle != nil && (old.Bundle == nil || old.Bundle.Revision != v.Bundle.Revision) {
+		d.log.Info().Uint64("revision", uint64(v.Bundle.Revision)).Msg("configuration in force")
 	}
-	d.callerListener = listener
-	d.callerServer = callerapi.NewServer(handler)
-	d.running.Go(func() {
-		if err := d.callerServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.log.Error().Err(err).Msg("caller API stopped")
-		}
-	})
-	return nil
-}
-
-// CallerAddress returns the IP and port of the caller API.
-func (d *Daemon) CallerAddress() string { return d.callerListener.Addr().String() }
-
-// Stop ends the host.
-func (d *Daemon) Stop(ctx context.Context) error {
-	err := d.callerServer.Shutdown(ctx)
-	d.cancel()
-	d.endpoints.Close()
-	d.running.Wait()
-	return err
 }
 
 // Query implements callerapi.Handler.
@@ -153,40 +117,65 @@
 
 // Permit implements callerapi.Handler.
 func (d *Daemon) Permit(_ context.Context, p api.PermitRequest) api.PermitAnswer {
-	return api.PermitAnswer{RequestID: p.RequestID, Code: result.NotReady}
+	return d.coordinator.mint(p)
 }
 
 // Submit implements callerapi.Handler.
-func (d *Daemon) Submit(_ context.Context, s api.SubmitRequest) api.SubmitAnswer {
-	return api.SubmitAnswer{RequestID: s.RequestID, Code: result.NotReady}
+func (d *Daemon) Submit(ctx context.Context, s api.SubmitRequest) api.SubmitAnswer {
+	return d.coordinator.submit(ctx, s, false)
 }
 
 // Status implements callerapi.Handler.
 func (d *Daemon) Status() api.StatusAnswer {
-	v := d.currentView()
-	s := api.StatusAnswer{Ready: v.Ready, Code: v.Reason, DataCentre: d.settings.DataCentre, Version: Version}
+	v := d.view.Load()
+	s := api.StatusAnswer{Ready: v.Ready, DataCentre: d.settings.DataCentre, Version: version.String()}
+	if !v.Ready {
+		s.Code, s.Name = v.Reason, v.Reason.String()
+	}
 	if v.Bundle != nil {
 		s.Revision = uint64(v.Bundle.Revision)
 	}
 	return s
 }
 
-func (d *Daemon) currentView() *view.View {
-	d.viewMu.RLock()
-	defer d.viewMu.RUnlock()
-	return d.view
+// PeerAddress returns the IP and port of the peer protocol.
+func (d *Daemon) PeerAddress() string { return d.peerL.Addr().String() }
+
+// CallerAddress returns the IP and port of the caller API.
+func (d *Daemon) CallerAddress() string { return d.callers.address() }
+
+// AdminAddress returns the IP and port of the admin API.
+func (d *Daemon) AdminAddress() string { return d.admin.address() }
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// randomStart returns the random number that tells incarnations apart.
+func randomStart() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:]) | 1
 }
 
-// carry implements carrier.
-func (d *Daemon) carry(_ string, requests []dispatch.Request) {
-	for _, r := range requests {
-		d.endpoints.Send(r, d.coordinator.reply)
-	}
+// newRand returns a cryptographic random source.
+func newRand() *rand.Rand {
+	var seed [32]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewChaCha8(seed))
 }
 
-// withdraw implements carrier.
-func (d *Daemon) withdraw(_ string, cancels []dispatch.Cancel) {
-	for _, c := range cancels {
-		d.endpoints.Cancel(c)
+// platformAddresses returns the IP and port of base addresses.
+func platformAddresses(bases []string) []string {
+	out := make([]string, 0, len(bases))
+	for _, b := range bases {
+		out = append(out, strings.TrimPrefix(strings.TrimSuffix(b, "/"), "http://"))
 	}
+	return out
 }
+
+// httpServer is a listener and the server on it.
+type httpServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (h *httpServer) address() string { return h.listener.Addr().String() }
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/gypsumlug/gypsumlug/internal/adminapi"
+	"github.com/gypsumlug/gypsumlug/internal/callerapi"
+	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
+	"github.com/gypsumlug/gypsumlug/internal/endpointhttp"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+// listen opens the three listeners.
+func (d *Daemon) listen() error {
+	targets := []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"peer", d.settings.PeerAddress, &d.peerL},
+		{"caller", d.settings.CallerAddress, &d.callers.listener},
+		{"admin", d.settings.AdminAddress, &d.admin.listener},
+	}
+	for _, t := range targets {
+		l, err := net.Listen("tcp", t.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on the %s address", t.name)
+		}
+		*t.listener = l
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.peerL, d.callers.listener, d.admin.listener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// serve starts the loops and the servers.
+func (d *Daemon) serve() error {
+	callers, err := callerapi.New(d, callerapi.Options{
+		Refused: func(c result.Code) { d.counters.Code(telemetry.FamilyAnswers, c) },
+	})
+	if err != nil {
+		return eris.Wrap(err, "build the caller API")
+	}
+	admin, err := d.adminHandler()
+	if err != nil {
+		return eris.Wrap(err, "build the admin API")
+	}
+	d.callers.server = callerapi.NewServer(callers)
+	d.admin.server = adminapi.NewServer(admin)
+	d.running.Go(func() { d.relay.run(d.ctx) })
+	d.running.Go(func() { d.coordinator.run(d.ctx) })
+	d.running.Go(func() { d.control.run(d.ctx) })
+	d.running.Go(func() { d.serveHTTP("caller", &d.callers) })
+	d.running.Go(func() { d.serveHTTP("admin", &d.admin) })
+	d.running.Go(func() {
+		if err := d.peerServer.Serve(d.peerL); err != nil && d.ctx.Err() == nil {
+			d.log.Error().Err(err).Msg("peer server stopped")
+		}
+	})
+	return nil
+}
+
+func (d *Daemon) serveHTTP(name string, h *httpServer) {
+	if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error().Err(err).Str("listener", name).Msg("HTTP server stopped")
+	}
+}
+
+// endpointOptions observes the connections to endpoints.
+func (d *Daemon) endpointOptions() endpointhttp.Options {
+	return endpointhttp.Options{
+		OnStatus: func(id string, s endpointapi.Status) {
+			if s.Load.Leaving {
+				d.control.observe(view.Observation{Leaving: id})
+			}
+		},
+		OnOpen: func(_ string, err error) {
+			name := "gypsumlug_endpoint_connections_opened_total"
+			if err != nil {
+				name = "gypsumlug_endpoint_dials_failed_total"
+			}
+			d.counters.Counter(name).Inc()
+		},
+		OnClose: func(_ string, r endpointhttp.CloseReason) {
+			d.counters.Counter(`gypsumlug_endpoint_connections_closed_total{reason="` + string(r) + `"}`).Inc()
+		},
+	}
+}
+
+func (d *Daemon) countPlatformCall(path string, code result.Code) {
+	d.counters.Counter(`gypsumlug_platform_calls_total{path="` + path + `",reason="` + code.String() + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/coordinator"
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/permit"
+)
+
+const (
+	// idlePoll is how often a stopping host looks whether work is left.
+	idlePoll = 10 * time.Millisecond
+	// handoverTimeout bounds the handover of closed permits.
+	handoverTimeout = 2 * time.Second
+	// handoverBytes bounds one handover message.
+	handoverBytes = 1 << 20
+)
+
+// Stop shuts the host down gracefully: it announces that it leaves, serves on
+// until the balancer has noticed, takes no new requests, finishes those in
+// flight and the relayed work of its peers, hands its closed permits over, and
+// ends. It cuts what is left when ctx ends, and returns ctx's error then.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.control.leave(ctx)
+	sleep(ctx, milliseconds(d.settings.BalancerLagMS))
+	err := d.callers.server.Shutdown(ctx)
+	d.coordinator.step(func(now time.Duration) coordinator.Actions { return d.coordinator.machine.Stop(now) })
+	d.waitIdle(ctx)
+	d.handOver(ctx)
+	_ = d.peerServer.Shutdown(ctx)
+	d.Kill()
+	if err == nil {
+		err = ctx.Err()
+	}
+	d.log.Info().Err(err).Msg("host stopped")
+	return err
+}
+
+// Kill ends the host at once and cuts what is in flight.
+func (d *Daemon) Kill() {
+	d.cancel()
+	_ = d.callers.server.Close()
+	_ = d.admin.server.Close()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.peerServer.Shutdown(ended)
+	d.closeListeners()
+	d.peers.Close()
+	d.endpoints.Close()
+	d.platform.Close()
+	d.running.Wait()
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// waitIdle waits until no request and no relayed attempt is in progress.
+func (d *Daemon) waitIdle(ctx context.Context) {
+	for ctx.Err() == nil && !(d.coordinator.idle() && d.relay.idle()) {
+		sleep(ctx, idlePoll)
+	}
+}
+
+// handOver gives the closed permits to the successor, so that repeated submits
+// still learn their outcome. Without it they are answered as unknown.
+func (d *Daemon) handOver(ctx context.Context) {
+	var closed []peerwire.ClosedPermit
+	d.coordinator.read(func(time.Duration) { closed = d.coordinator.machine.Closed() })
+	v := d.view.Load()
+	addresses := make([]string, 0, len(v.Hosts))
+	for i := range v.Hosts {
+		addresses = append(addresses, v.Hosts[i].Incarnation.Address)
+	}
+	to := permit.Successor(d.self.Incarnation, addresses)
+	if len(closed) == 0 || to == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	for _, h := range permit.Batches(d.self.Incarnation, closed, handoverBytes) {
+		var answer peerwire.HandoverAnswer
+		if err := d.peers.Call(ctx, to, peerwire.KindHandover, h, &answer); err != nil {
+			d.log.Warn().Err(err).Str("to", to).Msg("permits not handed over")
+			return
+		}
+	}
+}
--- a/internal/permit/handover.go
+++ b/internal/permit/handover.go
@@ -48,15 +48,20 @@
 // Stats counts the permits by state.
 type Stats struct {
 	ByState [StateCount]int
+	// ByService divides ByState by service.
+	ByService map[string][StateCount]int
 	// Archived counts the permits of other hosts.
 	Archived int
 }
 
 // Stats returns the number of permits held.
 func (l *Ledger) Stats() Stats {
-	s := Stats{Archived: l.archive.Len()}
+	s := Stats{Archived: l.archive.Len(), ByService: make(map[string][StateCount]int)}
 	for _, e := range l.due {
 		s.ByState[e.state]++
+		counts := s.ByService[e.service]
+		counts[e.state]++
+		s.ByService[e.service] = counts
 	}
 	return s
 }
