Tell a lost relay from a lost endpoint

Cause: a broken connection to a relay was reported as outcome-unknown, which counts as a fault of every endpoint that it carried, and a refusal by the relay marked the replica as tried. A query of which every shard was quarantined was answered as all-refused, and an internal fault as missing-refused. Change: code 409 relay-lost; relay faults neither blame the endpoint nor mark it as tried, so that it is tried again over another path.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -131,7 +131,7 @@
 	case dispatch.Failed:
 		return reply.Code != result.Internal
 	case dispatch.Unknown:
-		return reply.Code != result.Cancelled && reply.Code != result.ForwardUnknown && reply.Code != result.PeerUnreachable
+		return reply.Code != result.Cancelled && reply.Code != result.RelayLost && reply.Code != result.ForwardUnknown && reply.Code != result.PeerUnreachable
 	case dispatch.Refused:
 		return reply.Code == result.ConnectFailed
 	default:
--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -48,9 +48,9 @@
 		return result.MissingSnapshotGone
 	case result.RangeNotHeld:
 		return result.MissingMoved
-	case result.EndpointCrashed, result.ConnectionSilent, result.OutcomeUnknown, result.ConnectFailed, result.PeerUnreachable:
+	case result.EndpointCrashed, result.ConnectionSilent, result.OutcomeUnknown, result.RelayLost, result.ConnectFailed, result.PeerUnreachable:
 		return result.MissingLost
-	case result.EndpointFailed, result.BadReply:
+	case result.EndpointFailed, result.BadReply, result.Internal:
 		return result.MissingFailed
 	case result.ExpiredBeforeSend, result.Cancelled:
 		return result.MissingDeadline
@@ -102,12 +102,19 @@
 
 // notRunCode tells why no attempt of a query started.
 func notRunCode(missing []Missing) result.Code {
-	for _, m := range missing {
-		if m.Code != result.MissingNoReplica {
+	for _, m := range missing[1:] {
+		if m.Code != missing[0].Code {
 			return result.AllRefused
 		}
 	}
-	return result.NoReplica
+	switch missing[0].Code {
+	case result.MissingNoReplica:
+		return result.NoReplica
+	case result.MissingQuarantined:
+		return result.Quarantined
+	default:
+		return result.AllRefused
+	}
 }
 
 // merge combines the hits of the covered shards. The order depends on the hits
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -77,10 +77,10 @@
 func (q *Query) attemptFailed(now time.Duration, i int, a attempt, r *dispatch.Reply) {
 	s := &q.shards[i]
 	s.reason = r.Code
-	switch r.Code {
-	case result.SnapshotGone, result.RangeNotHeld:
+	switch {
+	case r.Code == result.SnapshotGone || r.Code == result.RangeNotHeld:
 		s.gone = addOnce(s.gone, r.Endpoint)
-	default:
+	case !RelayFault(r.Code):
 		s.tried = addOnce(s.tried, r.Endpoint)
 	}
 	if r.Code == result.EndpointCrashed {
@@ -100,6 +100,17 @@
 	q.scheduleRetry(now, i)
 }
 
+// RelayFault reports whether a code tells of the relay and not of the endpoint,
+// which may then be tried again through another relay.
+func RelayFault(code result.Code) bool {
+	switch code {
+	case result.PeerUnreachable, result.PeerQueueFull, result.Stopping, result.RelayLost:
+		return true
+	default:
+		return false
+	}
+}
+
 // abandon gives up every pending shard.
 func (q *Query) abandon(code result.Code) {
 	for i := range q.shards {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -142,6 +142,8 @@
 	ConnectionSilent Code = 407
 	// Cancelled: the attempt was cancelled after it was sent.
 	Cancelled Code = 408
+	// RelayLost: the relay was lost while it had the attempt.
+	RelayLost Code = 409
 	// EndpointFailed: the endpoint ran the request and failed.
 	EndpointFailed Code = 500
 	// BadReply: the endpoint's reply broke the protocol.
