Bound the coordinator's work and memory for each step

Causes, found by reading: - release called admit called start called release: the stack grew with the queue when waiting requests ended at once. Released places now wait in a list until the end of the step. - Rescheduled timers stayed in the heap and retained answered queries with their hits until the deadline. Each request has one timer now, which leaves the heap with it. - Each step scanned and sorted all submissions for expired waiters. They share the timers now. - A retry of a submit whose service left the configuration dereferenced a nil budget. A submission keeps the budgets that it began with. - Submits earned no retry budget: after the first burst no submit was ever retried again. - The first event after a pause could be a reply and dispatch a retry past the deadline. It counts as lost now. - A relay that is stopping was asked again; if every relay of an endpoint failed, the first was asked again. They are avoided, and this host relays itself when none is left.

--- a/internal/coordinator/admit.go
+++ b/internal/coordinator/admit.go
@@ -17,8 +17,7 @@
 	}
 }
 
-// admit carries out what became of waiting requests. Starting one may end
-// another, which admits more.
+// admit carries out what became of waiting requests.
 func (m *Machine) admit(now time.Duration, c admission.Changes) {
 	for _, r := range c.Refused {
 		m.refuse(now, r.ID, r.Code)
@@ -54,7 +53,15 @@
 	}
 }
 
-// release ends an admitted request.
-func (m *Machine) release(now time.Duration, id string) {
-	m.admit(now, m.admission.Release(now, id))
+// release ends an admitted request at the end of the step. What it admits may
+// end at once and release more: a queue, and not a recursion, bounds the stack.
+func (m *Machine) release(id string) { m.released = append(m.released, id) }
+
+// drainReleased ends the released requests and starts what waited for them.
+func (m *Machine) drainReleased(now time.Duration) {
+	for i := 0; i < len(m.released); i++ {
+		m.admit(now, m.admission.Release(now, m.released[i]))
+	}
+	clear(m.released)
+	m.released = m.released[:0]
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -107,14 +107,16 @@
 	admitted map[string]*submission
 	// tickets maps a ticket to the ID of its query.
 	tickets     map[Ticket]string
-	outstanding map[dispatch.Key]outstanding
-	relayDown   map[string]time.Duration
+	outstanding map[dispatch.Key]*outstanding
+	relays      map[string]relayState
 	timers      timerHeap
-	sequence    uint64
-	last        time.Duration
-	swept       time.Duration
-	stopping    bool
-	out         Actions
+	// released are the admitted requests that ended in this step.
+	released []string
+	sequence uint64
+	last     time.Duration
+	swept    time.Duration
+	stopping bool
+	out      Actions
 }
 
 // outstanding is an attempt without a reply.
@@ -144,31 +146,29 @@
 		submissions: make(map[string]*submission),
 		admitted:    make(map[string]*submission),
 		tickets:     make(map[Ticket]string),
-		outstanding: make(map[dispatch.Key]outstanding),
-		relayDown:   make(map[string]time.Duration),
+		outstanding: make(map[dispatch.Key]*outstanding),
+		relays:      make(map[string]relayState),
 	}
 }
 
 // SetView replaces the view. Running queries keep the configuration that they
 // began with.
 func (m *Machine) SetView(now time.Duration, v *view.View) Actions {
-	m.advance(now)
+	m.begin(now)
 	m.view = v
 	m.table.SetView(now, v)
 	m.updateBudgets()
 	m.admit(now, m.admission.SetBundle(now, v.Bundle))
-	return m.take()
+	return m.take(now)
 }
 
 // Tick handles the passing of time.
 func (m *Machine) Tick(now time.Duration) Actions {
 	m.advance(now)
-	m.runTimers(now)
-	m.admit(now, m.admission.Tick(now))
-	m.expireSubmits(now)
+	m.expire(now)
 	m.ledger.Tick(now)
 	m.sweep(now)
-	return m.take()
+	return m.take(now)
 }
 
 // Next returns when Tick is due.
@@ -180,20 +180,17 @@
 	if at, ok := m.admission.Next(); ok {
 		next = min(next, at)
 	}
-	if at, ok := m.nextSubmitExpiry(); ok {
-		next = min(next, at)
-	}
 	return max(next, now)
 }
 
 // Stop refuses new requests and burns the permits that were not submitted.
 // Requests in progress go on to their end.
 func (m *Machine) Stop(now time.Duration) Actions {
-	m.advance(now)
+	m.begin(now)
 	m.stopping = true
 	m.admission.Stop()
 	m.ledger.Stop(now)
-	return m.take()
+	return m.take(now)
 }
 
 // Running returns the number of requests in progress.
@@ -210,6 +207,16 @@
 	return m.table.Condition(now, id)
 }
 
+// begin starts a step. What is due by time goes before the event, so that a late
+// event, such as the first one after a pause, finds no request past its
+// deadline.
+func (m *Machine) begin(now time.Duration) {
+	m.advance(now)
+	if m.timers.due(now) {
+		m.expire(now)
+	}
+}
+
 // advance notes the time of a step and drops beliefs after a pause.
 func (m *Machine) advance(now time.Duration) {
 	if m.last > 0 && now-m.last > PauseGap {
@@ -220,17 +227,21 @@
 
 // Reply handles the reply to an attempt, from this host's relay or a peer.
 func (m *Machine) Reply(now time.Duration, r dispatch.Reply) Actions {
-	m.advance(now)
+	m.begin(now)
 	m.reply(now, r)
-	return m.take()
+	return m.take(now)
 }
 
 func (m *Machine) reply(now time.Duration, r dispatch.Reply) {
-	o, known := m.outstanding[r.Key]
+	o := m.outstanding[r.Key]
+	known := o != nil
 	if known {
 		delete(m.outstanding, r.Key)
 		r.Endpoint = o.endpoint
 		m.table.Replied(now, r, now-o.sent)
+		if r.Code == result.Stopping {
+			m.avoid(now, o.to)
+		}
 	}
 	m.observe(&r)
 	switch {
@@ -260,50 +271,59 @@
 	}
 }
 
-// Written notes that attempts were handed to a peer's socket.
-func (m *Machine) Written(keys []dispatch.Key) {
+// Written notes that attempts were handed to a peer's socket. If the connection
+// to the peer broke since they were dispatched, they may have been written
+// before it, and count as lost.
+func (m *Machine) Written(now time.Duration, peer string, keys []dispatch.Key) Actions {
+	m.begin(now)
+	broken, known := m.relays[peer]
 	for _, k := range keys {
-		if o, ok := m.outstanding[k]; ok {
+		o := m.outstanding[k]
+		switch {
+		case o == nil:
+		case known && broken.lost && o.sent <= broken.lostAt:
+			m.reply(now, o.request.Lose(result.RelayLost))
+		default:
 			o.written = true
-			m.outstanding[k] = o
 		}
 	}
+	return m.take(now)
 }
 
 // NotWritten handles attempts that were provably not handed to a peer.
 func (m *Machine) NotWritten(now time.Duration, peer string, keys []dispatch.Key) Actions {
-	m.advance(now)
+	m.begin(now)
 	m.avoid(now, peer)
 	for _, k := range keys {
-		if o, ok := m.outstanding[k]; ok {
+		if o := m.outstanding[k]; o != nil {
 			m.reply(now, o.request.Refuse(result.PeerUnreachable))
 		}
 	}
-	return m.take()
+	return m.take(now)
 }
 
 // Lost handles attempts whose hand-over to a peer failed half way.
 func (m *Machine) Lost(now time.Duration, peer string, keys []dispatch.Key) Actions {
-	m.advance(now)
+	m.begin(now)
 	m.avoid(now, peer)
 	for _, k := range keys {
-		if o, ok := m.outstanding[k]; ok {
-			m.reply(now, o.request.Lose(result.OutcomeUnknown))
+		if o := m.outstanding[k]; o != nil {
+			m.reply(now, o.request.Lose(result.RelayLost))
 		}
 	}
-	return m.take()
+	return m.take(now)
 }
 
 // PeerLost handles a broken connection to a peer: what was written over it and
 // has no reply is unknown.
 func (m *Machine) PeerLost(now time.Duration, peer string) Actions {
-	m.advance(now)
-	m.avoid(now, peer)
+	m.begin(now)
+	m.relayLost(now, peer)
 	for _, k := range m.outstandingAt(peer) {
 		o := m.outstanding[k]
-		m.reply(now, o.request.Lose(result.OutcomeUnknown))
+		m.reply(now, o.request.Lose(result.RelayLost))
 	}
-	return m.take()
+	return m.take(now)
 }
 
 // sweep drops attempts whose reply is long overdue.
@@ -316,19 +336,22 @@
 		o := m.outstanding[k]
 		m.reply(now, o.request.Lose(result.OutcomeUnknown))
 	}
-	for peer, until := range m.relayDown {
-		if now >= until {
-			delete(m.relayDown, peer)
-		}
-	}
+	m.forgetRelays(now)
 }
 
-func (m *Machine) take() Actions {
+// take ends a step and returns its actions.
+func (m *Machine) take(now time.Duration) Actions {
+	m.drainReleased(now)
 	out := m.out
 	m.out = Actions{}
 	return out
 }
 
+func (m *Machine) newTimer() timer {
+	m.sequence++
+	return timer{order: m.sequence}
+}
+
 // requestID returns an ID that no other request of any host has.
 func (m *Machine) requestID() string {
 	m.sequence++
--- a/internal/coordinator/queries.go
+++ b/internal/coordinator/queries.go
@@ -22,8 +22,7 @@
 	revision    config.Revision
 	fingerprint view.Fingerprint
 	query       *query.Query
-	// wake is the time of the valid timer, or zero.
-	wake time.Duration
+	timer       timer
 }
 
 // waitingQuery is a query that was not admitted yet.
@@ -36,23 +35,23 @@
 // Query takes a caller's query. The answer comes in the Actions of this or a
 // later step, under the ticket.
 func (m *Machine) Query(now time.Duration, ticket Ticket, q api.QueryRequest) Actions {
-	m.advance(now)
+	m.begin(now)
 	if code := m.refusal(q.Service, true); code != 0 {
 		m.refuseQuery(ticket, &q, code)
-		return m.take()
+		return m.take(now)
 	}
 	id := m.requestID()
 	w := waitingQuery{ticket: ticket, request: q, deadline: now + budget(m.view.Bundle.Service(q.Service), q.BudgetMS)}
 	m.waiting[id] = w
 	m.tickets[ticket] = id
 	m.offer(now, admission.Request{ID: id, Service: q.Service, Caller: q.Caller, Budget: w.deadline - now})
-	return m.take()
+	return m.take(now)
 }
 
 // Hangup ends the request of a caller that went away. A submit goes on, so that
 // its permit learns the outcome.
 func (m *Machine) Hangup(now time.Duration, ticket Ticket) Actions {
-	m.advance(now)
+	m.begin(now)
 	id := m.tickets[ticket]
 	delete(m.tickets, ticket)
 	if r := m.queries[id]; r != nil {
@@ -62,7 +61,7 @@
 		delete(m.waiting, id)
 		m.admit(now, m.admission.Cancel(now, id))
 	}
-	return m.take()
+	return m.take(now)
 }
 
 // refusal returns why the host does not take a request, or zero. A host that
@@ -89,7 +88,7 @@
 	s, x := m.service(w.request.Service)
 	if s == nil || x == nil {
 		m.refuseQuery(w.ticket, &w.request, result.UnknownService)
-		m.release(now, id)
+		m.release(id)
 		return
 	}
 	fingerprint := m.cfg.Fingerprint(s.Name, w.request.Query)
@@ -101,6 +100,8 @@
 		revision:    m.view.Bundle.Revision,
 		fingerprint: fingerprint,
 	}
+	r.timer = m.newTimer()
+	r.timer.query = r
 	r.query = query.New(query.Params{
 		ID:        id,
 		Service:   s,
@@ -153,11 +154,11 @@
 	}
 	if r.query.Done() {
 		delete(m.queries, r.id)
-		r.wake = 0
-		m.release(now, r.id)
+		m.timers.remove(&r.timer)
+		m.release(r.id)
 		return
 	}
-	m.schedule(r)
+	m.timers.set(&r.timer, r.query.Next())
 }
 
 func (m *Machine) refuseQuery(ticket Ticket, q *api.QueryRequest, code result.Code) {
--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -10,10 +10,22 @@
 	"github.com/gypsumlug/gypsumlug/internal/endpoint"
 )
 
-// relayAvoidance is how long a relay that could not be reached is avoided if
-// the endpoint has another one.
+// relayAvoidance is how long a relay that could not be reached, or that refused
+// because it is stopping, is avoided.
 const relayAvoidance = 2 * time.Second
 
+// relayState is what is known of a relay that failed lately.
+type relayState struct {
+	avoidUntil time.Duration
+	// lost tells that a connection to it broke, at lostAt.
+	lost   bool
+	lostAt time.Duration
+}
+
+// relayMemory is how long the break of a connection is remembered for reports of
+// writes that come after it.
+const relayMemory = 10 * time.Second
+
 // defaultHedgeDivisor gives the hedge delay as a share of the latency target
 // while too few replies were observed.
 const defaultHedgeDivisor = 4
@@ -26,8 +38,9 @@
 const minBudgetBurst = 16
 
 // route returns the relay for an endpoint: this host if it is one, else the
-// first that was not found unreachable lately, starting at a position that
-// differs between hosts so that relays share the work.
+// first that did not fail lately, starting at a position that differs between
+// hosts so that relays share the work. If all failed, this host relays itself,
+// with the one connection that its relay uses for endpoints of others.
 func (m *Machine) route(now time.Duration, id string) string {
 	relays := m.view.Relays[id]
 	if len(relays) == 0 || slices.Contains(relays, m.cfg.Self.Address) {
@@ -36,23 +49,42 @@
 	first := int(m.cfg.Self.Start % uint64(len(relays)))
 	for i := range relays {
 		relay := relays[(first+i)%len(relays)]
-		if now >= m.relayDown[relay] {
+		if now >= m.relays[relay].avoidUntil {
 			return relay
 		}
 	}
-	return relays[first]
+	return ""
 }
 
 func (m *Machine) avoid(now time.Duration, relay string) {
 	if relay != "" {
-		m.relayDown[relay] = now + relayAvoidance
+		s := m.relays[relay]
+		s.avoidUntil = now + relayAvoidance
+		m.relays[relay] = s
+	}
+}
+
+func (m *Machine) relayLost(now time.Duration, relay string) {
+	s := m.relays[relay]
+	s.avoidUntil = now + relayAvoidance
+	s.lost = true
+	s.lostAt = now
+	m.relays[relay] = s
+}
+
+// forgetRelays drops the failures of relays that no attempt can refer to.
+func (m *Machine) forgetRelays(now time.Duration) {
+	for relay, s := range m.relays {
+		if now >= s.avoidUntil+relayMemory {
+			delete(m.relays, relay)
+		}
 	}
 }
 
 // dispatch routes an attempt and accounts for it.
 func (m *Machine) dispatch(now time.Duration, r dispatch.Request) {
 	to := m.route(now, r.Endpoint)
-	m.outstanding[r.Key] = outstanding{
+	m.outstanding[r.Key] = &outstanding{
 		to:       to,
 		endpoint: r.Endpoint,
 		sent:     now,
@@ -82,7 +114,7 @@
 func (m *Machine) selectOutstanding(match func(*outstanding) bool) []dispatch.Key {
 	var keys []dispatch.Key
 	for k, o := range m.outstanding {
-		if match(&o) {
+		if match(o) {
 			keys = append(keys, k)
 		}
 	}
--- a/internal/coordinator/submits.go
+++ b/internal/coordinator/submits.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -26,6 +25,9 @@
 	admission string
 	deadline  time.Duration
 	waiters   []waiter
+	timer     timer
+	budgets   *budgets
+	attempted bool
 	tried     []string
 	retries   int
 	suspicion view.Suspicion
@@ -44,7 +46,7 @@
 // The ledger sees every submit first: a refusal for any other reason would be
 // untrue for a permit that had run before.
 func (m *Machine) Submit(now time.Duration, ticket Ticket, s api.SubmitRequest, forwarded bool) Actions {
-	m.advance(now)
+	m.begin(now)
 	id, err := permit.Parse(s.Permit)
 	switch {
 	case s.Permit == "":
@@ -56,14 +58,14 @@
 	default:
 		m.decide(now, ticket, s, id, forwarded)
 	}
-	return m.take()
+	return m.take(now)
 }
 
 func (m *Machine) decide(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID, forwarded bool) {
 	d := m.ledger.Submit(now, id, permit.HashRequest(s.Caller, s.Key, s.Body))
 	switch d.Verdict {
 	case permit.Dispatch:
-		m.begin(now, ticket, s, id)
+		m.open(now, ticket, s, id)
 	case permit.Running:
 		m.join(now, ticket, &s, d)
 	case permit.Foreign:
@@ -86,8 +88,8 @@
 	return outcome{code: d.Code, body: d.Outcome, replayed: d.Verdict == permit.Replay, dropped: d.OutcomeDropped}
 }
 
-// begin takes a permit's first submit.
-func (m *Machine) begin(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID) {
+// open takes a permit's first submit.
+func (m *Machine) open(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID) {
 	sub := &submission{id: id, request: s, service: m.view.Bundle.Service(s.Service)}
 	if sub.service == nil {
 		sub.waiters = []waiter{{ticket: ticket, requestID: s.RequestID}}
@@ -96,6 +98,10 @@
 	}
 	sub.deadline = now + budget(sub.service, s.BudgetMS)
 	sub.waiters = []waiter{{ticket: ticket, requestID: s.RequestID, deadline: sub.deadline}}
+	sub.budgets = m.budgets[s.Service]
+	sub.timer = m.newTimer()
+	sub.timer.submission = sub
+	m.timers.set(&sub.timer, sub.deadline)
 	m.submissions[s.Permit] = sub
 	sub.admission = m.requestID()
 	m.admitted[sub.admission] = sub
@@ -105,15 +111,19 @@
 // join adds a caller to a submission in progress.
 func (m *Machine) join(now time.Duration, ticket Ticket, s *api.SubmitRequest, d permit.Decision) {
 	sub := m.submissions[s.Permit]
-	if sub == nil {
+	if sub == nil || len(sub.waiters) >= maxWaiters {
 		m.answerSubmit(ticket, s.RequestID, s.Permit, outcome{code: d.Code})
 		return
 	}
-	sub.waiters = append(sub.waiters, waiter{
-		ticket: ticket, requestID: s.RequestID, deadline: now + budget(sub.service, s.BudgetMS),
-	})
+	w := waiter{ticket: ticket, requestID: s.RequestID, deadline: now + budget(sub.service, s.BudgetMS)}
+	sub.waiters = append(sub.waiters, w)
+	m.scheduleWaiters(sub)
 }
 
+// maxWaiters bounds the callers that wait for one submission, since repeated
+// submits pass no admission.
+const maxWaiters = 16
+
 func (m *Machine) forward(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID, forwarded bool) {
 	if forwarded {
 		m.answerSubmit(ticket, s.RequestID, s.Permit, outcome{code: result.IssuerUnreachable})
@@ -146,9 +156,13 @@
 	}
 	attempt, err := m.ledger.Begin(now, s.id)
 	if err != nil {
-		m.finishSubmit(now, s, outcome{code: err.Code})
+		m.finishSubmit(s, outcome{code: err.Code})
 		return
 	}
+	if !s.attempted {
+		s.attempted = true
+		s.budgets.Primary()
+	}
 	m.dispatch(now, dispatch.Request{
 		Key:       dispatch.Key{Request: s.request.Permit, Attempt: attempt},
 		Operation: dispatch.Submit,
@@ -211,15 +225,22 @@
 		return
 	}
 	if !m.settle(now, s.id, r) {
-		m.finishSubmit(now, s, outcome{code: result.OutcomeUnknown})
+		m.finishSubmit(s, outcome{code: result.OutcomeUnknown})
 		return
 	}
 	if r.Outcome != dispatch.Refused {
-		m.finishSubmit(now, s, outcomeOf(&r))
+		m.finishSubmit(s, outcomeOf(&r))
+		return
+	}
+	if !query.RelayFault(r.Code) {
+		s.tried = append(s.tried, r.Endpoint)
+	}
+	if s.retries >= s.service.Retry.Max {
+		m.burn(now, s, result.AllRefused)
 		return
 	}
-	s.tried = append(s.tried, r.Endpoint)
-	if s.retries >= s.service.Retry.Max || !m.budgets[s.service.Name].TakeRetry() {
+	if !s.budgets.TakeRetry() {
+		m.out.Events = append(m.out.Events, query.Event{Kind: query.EventRetryDenied, Code: r.Code})
 		m.burn(now, s, result.AllRefused)
 		return
 	}
@@ -253,12 +274,13 @@
 	if !m.ledger.Burn(now, s.id, code) {
 		code = result.OutcomeUnknown
 	}
-	m.finishSubmit(now, s, outcome{code: code})
+	m.finishSubmit(s, outcome{code: code})
 }
 
 // finishSubmit answers every waiter and frees the submission's place.
-func (m *Machine) finishSubmit(now time.Duration, s *submission, o outcome) {
+func (m *Machine) finishSubmit(s *submission, o outcome) {
 	delete(m.submissions, s.request.Permit)
+	m.timers.remove(&s.timer)
 	for _, w := range s.waiters {
 		m.answerSubmit(w.ticket, w.requestID, s.request.Permit, o)
 	}
@@ -266,51 +288,37 @@
 	if id := s.admission; id != "" {
 		s.admission = ""
 		delete(m.admitted, id)
-		m.release(now, id)
+		m.release(id)
 	}
 }
 
-// expireSubmits answers the waiters whose deadline has passed. The submission
+// expireWaiters answers the waiters whose deadline has passed. The submission
 // goes on: an attempt of it may be running.
-func (m *Machine) expireSubmits(now time.Duration) {
-	for _, s := range m.sortedSubmissions() {
-		expired := s.waiters[:0:0]
-		s.waiters = slices.DeleteFunc(s.waiters, func(w waiter) bool {
-			if now >= w.deadline {
-				expired = append(expired, w)
-			}
-			return now >= w.deadline
-		})
-		for _, w := range expired {
-			m.answerSubmit(w.ticket, w.requestID, s.request.Permit, outcome{code: result.StillRunning})
+func (m *Machine) expireWaiters(now time.Duration, s *submission) {
+	waiting := s.waiters[:0]
+	for _, w := range s.waiters {
+		if now < w.deadline {
+			waiting = append(waiting, w)
+			continue
 		}
+		m.answerSubmit(w.ticket, w.requestID, s.request.Permit, outcome{code: result.StillRunning})
 	}
+	clear(s.waiters[len(waiting):])
+	s.waiters = waiting
+	m.scheduleWaiters(s)
 }
 
-func (m *Machine) sortedSubmissions() []*submission {
-	if len(m.submissions) == 0 {
-		return nil
-	}
-	out := make([]*submission, 0, len(m.submissions))
-	for _, s := range m.submissions {
-		out = append(out, s)
+// scheduleWaiters sets the timer to the earliest deadline of a waiter.
+func (m *Machine) scheduleWaiters(s *submission) {
+	if len(s.waiters) == 0 {
+		m.timers.remove(&s.timer)
+		return
 	}
-	slices.SortFunc(out, func(a, b *submission) int { return cmp.Compare(a.request.Permit, b.request.Permit) })
-	return out
-}
-
-// nextSubmitExpiry returns the earliest deadline of a waiter.
-func (m *Machine) nextSubmitExpiry() (time.Duration, bool) {
-	var next time.Duration
-	found := false
-	for _, s := range m.submissions {
-		for _, w := range s.waiters {
-			if !found || w.deadline < next {
-				next, found = w.deadline, true
-			}
-		}
+	next := s.waiters[0].deadline
+	for _, w := range s.waiters[1:] {
+		next = min(next, w.deadline)
 	}
-	return next, found
+	m.timers.set(&s.timer, next)
 }
 
 func (m *Machine) refuseSubmit(ticket Ticket, s *api.SubmitRequest, code result.Code) {
--- a/internal/coordinator/timers.go
+++ b/internal/coordinator/timers.go
@@ -5,59 +5,96 @@
 	"time"
 )
 
-// timer is the time at which a running query needs a step. Timers of ended or
-// rescheduled queries stay in the heap and are skipped.
+// timer is the time at which a running query or a submission needs a step.
 type timer struct {
-	at    time.Duration
-	query *running
+	at time.Duration
+	// order breaks ties, so that steps do not depend on the heap's layout.
+	order uint64
+	// position is the index in the heap plus one, or zero if it is in none.
+	position   int
+	query      *running
+	submission *submission
 }
 
-type timerHeap []timer
+// timerHeap holds one timer of each query and submission in progress. A timer
+// leaves the heap with its request, so that an ended one is not retained.
+type timerHeap []*timer
 
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+// Len implements heap.Interface.
+func (h timerHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+// Swap implements heap.Interface.
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position = i + 1
+	h[j].position = j + 1
+}
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	*h = append(*h, t)
+	t.position = len(*h)
+}
+
+// Pop implements heap.Interface.
 func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*h = old[:len(old)-1]
-	return last
-}
-
-// next returns the earliest time of a timer that is still valid.
-func (h *timerHeap) next() (time.Duration, bool) {
-	for len(*h) > 0 {
-		if first := (*h)[0]; first.at == first.query.wake {
-			return first.at, true
-		}
-		heap.Pop(h)
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	t.position = 0
+	return t
+}
+
+// next returns the earliest time of a timer.
+func (h timerHeap) next() (time.Duration, bool) {
+	if len(h) == 0 {
+		return 0, false
 	}
-	return 0, false
+	return h[0].at, true
 }
 
-// schedule sets the time of the query's next step.
-func (m *Machine) schedule(r *running) {
-	at := r.query.Next()
-	if at == r.wake {
-		return
+// set schedules a timer, anew if it was scheduled before.
+func (h *timerHeap) set(t *timer, at time.Duration) {
+	switch {
+	case t.position == 0:
+		t.at = at
+		heap.Push(h, t)
+	case t.at != at:
+		t.at = at
+		heap.Fix(h, t.position-1)
 	}
-	r.wake = at
-	heap.Push(&m.timers, timer{at: at, query: r})
 }
 
-// runTimers steps every query whose time has come.
-func (m *Machine) runTimers(now time.Duration) {
-	for {
-		at, ok := m.timers.next()
-		if !ok || at > now {
-			return
+func (h *timerHeap) remove(t *timer) {
+	if t.position > 0 {
+		heap.Remove(h, t.position-1)
+	}
+}
+
+// due reports whether a timer's time has come.
+func (h timerHeap) due(now time.Duration) bool { return len(h) > 0 && h[0].at <= now }
+
+// expire carries out what is due by time alone: first what waits for admission,
+// so that it is refused as never dispatched, and then the timers.
+func (m *Machine) expire(now time.Duration) {
+	m.admit(now, m.admission.Tick(now))
+	for m.timers.due(now) {
+		t := m.timers[0]
+		m.timers.remove(t)
+		if t.query != nil {
+			m.apply(now, t.query, t.query.query.Tick(now))
+		} else {
+			m.expireWaiters(now, t.submission)
 		}
-		r := m.timers[0].query
-		heap.Pop(&m.timers)
-		r.wake = 0
-		m.apply(now, r, r.query.Tick(now))
 	}
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -87,8 +87,7 @@
 	d.coordinator.step(func(now time.Duration) coordinator.Actions {
 		switch {
 		case err == nil:
-			d.coordinator.machine.Written(keys)
-			return coordinator.Actions{}
+			return d.coordinator.machine.Written(now, to, keys)
 		case peer.Undelivered(err):
 			return d.coordinator.machine.NotWritten(now, to, keys)
 		default:
