--- /dev/null
+++ b/cmd/gypsumlug/demo.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/demo"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+type demoCmd struct{}
+
+// demoReport is the JSON form of the demonstration.
+type demoReport struct {
+	Steps  []demo.Step `json:"steps"`
+	Failed int         `json:"failed"`
+}
+
+// Run shows the main job in one process on loopback. It fails if an outcome is
+// not what it should be.
+func (demoCmd) Run(env *environment) error {
+	env.line("Starting a platform, endpoints and three entry hosts on loopback.")
+	report := demoReport{Steps: []demo.Step{}}
+	failed, err := demo.Run(env.ctx, func(s demo.Step) {
+		report.Steps = append(report.Steps, s)
+		env.printStep(s)
+	})
+	if err != nil {
+		return err
+	}
+	report.Failed = failed
+	if env.output == outputJSON {
+		enc := json.NewEncoder(env.stdout)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(report); err != nil {
+			return err
+		}
+	}
+	if failed > 0 {
+		return result.Errorf(result.DeploymentMismatch, "%d of %d steps went wrong", failed, len(report.Steps))
+	}
+	env.line("\nAll %d steps went as they should.", len(report.Steps))
+	return nil
+}
+
+func (e *environment) printStep(s demo.Step) {
+	mark := "ok"
+	if !s.Passed {
+		mark = "WRONG: " + s.Reason
+	}
+	took := ""
+	if s.Elapsed > 0 {
+		took = fmt.Sprintf(" in %s", s.Elapsed.Round(100*time.Microsecond))
+	}
+	e.line("\n%s\n  %d %s from %s%s (%s)", s.Title, s.Code, s.Name, s.Host, took, mark)
+	for _, f := range s.Facts {
+		e.line("  %s", f)
+	}
+}
--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -17,6 +17,7 @@
 type cli struct {
 	Output outputFormat `help:"Format of the output: table or json." enum:"table,json" default:"table" short:"o"`
 
+	Demo          demoCmd          `cmd:"" help:"Show the main job in one process: queries, a reservation, a lost shard, a straggler."`
 	Query         queryCmd         `cmd:"" help:"Query a service."`
 	Submit        submitCmd        `cmd:"" help:"Run a request at most once, under a permit."`
 	Questionnaire questionnaireCmd `cmd:"" help:"Check, generate, explain and compare questionnaires."`
--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -73,6 +73,9 @@
 		h.stop()
 		return nil, err
 	}
+	for _, d := range h.daemons {
+		fleet.Addresses = append(fleet.Addresses, d.CallerAddress())
+	}
 	return fleet, nil
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -27,7 +27,9 @@
 
 // Fleet is a set of hosts under load.
 type Fleet struct {
-	Targets []Target
+	// Addresses are the caller addresses of embedded hosts.
+	Addresses []string
+	Targets   []Target
 	// Reasons returns the hosts' counters; it may be nil.
 	Reasons func(context.Context) (map[string]float64, error)
 	Close   func()
