Retry a missing shard until the deadline if coverage goes first

Such a service now retries with backoff, within its budget, until the deadline; latency-first services still give a shard up after the service's maximum.

--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -44,6 +44,8 @@
 // missingCode maps the code of a shard's last attempt to a reason.
 func missingCode(code result.Code) result.Code {
 	switch code {
+	case result.NoReplica:
+		return result.MissingNoReplica
 	case result.SnapshotGone:
 		return result.MissingSnapshotGone
 	case result.RangeNotHeld:
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -19,14 +20,29 @@
 		return
 	}
 	endpoint, ok := q.p.Replicas.Pick(now, s.replicas, s.gone)
+	q.p.Budgets.Primary()
 	if !ok {
-		q.giveUp(s, result.MissingNoReplica)
+		q.noReplica(now, s)
 		return
 	}
-	q.p.Budgets.Primary()
 	q.send(now, i, endpoint)
 }
 
+// noReplica gives a shard up, or looks for a replica again later if the service
+// prefers coverage.
+func (q *Query) noReplica(now time.Duration, s *shard) {
+	if !q.patient() {
+		q.giveUp(s, result.MissingNoReplica)
+		return
+	}
+	s.reason = result.NoReplica
+	s.waiting = true
+	s.retryAt = now + q.nextBackoff(s)
+}
+
+// patient reports whether missing shards are waited for until the deadline.
+func (q *Query) patient() bool { return q.p.Service.Preference == config.PreferCoverage }
+
 // mayRunAlone reports whether a suspect may be sent to a shard now: it has no
 // other attempt in flight and cannot take the shard's last replica down.
 func (q *Query) mayRunAlone(now time.Duration, s *shard) bool {
@@ -125,7 +141,7 @@
 // budget allows it, else after a backoff.
 func (q *Query) scheduleRetry(now time.Duration, i int) {
 	s := &q.shards[i]
-	if s.retries >= q.p.Service.Retry.Max {
+	if s.retries >= q.p.Service.Retry.Max && !q.patient() {
 		q.giveUp(s, missingCode(s.reason))
 		return
 	}
@@ -155,7 +171,7 @@
 	}
 	endpoint, ok := q.pickRetry(now, s)
 	if !ok {
-		q.giveUp(s, result.MissingNoReplica)
+		q.noReplica(now, s)
 		return
 	}
 	if !q.p.Budgets.TakeRetry() {
--- a/internal/query/fault_test.go
+++ b/internal/query/fault_test.go
@@ -217,6 +217,19 @@
 		Expect(a.Covered).To(Equal(4))
 	})
 
+	It("retries until the deadline if coverage goes first", func() {
+		b := newBench()
+		b.service.Retry.Max = 1
+		shed := func(r dispatch.Request) (dispatch.Reply, time.Duration, bool) {
+			if b.now < b.service.Deadline()/2 {
+				return r.Refuse(result.EndpointShed), replyTime, true
+			}
+			return healthy(r)
+		}
+		b.behaviours["e1"], b.behaviours["e2"], b.behaviours["e3"] = shed, shed, shed
+		Expect(b.run().Code).To(Equal(result.Complete))
+	})
+
 	It("hedges a second time when the first hedge is slow", func() {
 		b := newBench()
 		b.behaviours["e1"], b.behaviours["e2"] = straggling, straggling
