--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -159,7 +159,7 @@
 	return m.end(now, a, true)
 }
 
-// Next returns the time until Tick is due.
+// Next returns how long after now Tick is due.
 func (m *Machine) Next(now time.Duration) time.Duration {
 	if !m.started {
 		return 0
