--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -60,7 +60,6 @@
 		case <-timer.C:
 			l.carryOut(l.machine.Tick(l.clock.now()))
 		}
-		now := l.clock.now()
 		timer.Reset(l.machine.Next(l.clock.now()))
 	}
 }
