--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -154,10 +154,11 @@
 // SetView replaces the view. Running queries keep the configuration that they
 // began with.
 func (m *Machine) SetView(now time.Duration, v *view.View) Actions {
-	m.begin(now)
+	m.advance(now)
 	m.view = v
 	m.table.SetView(now, v)
 	m.updateBudgets()
+	m.expire(now)
 	m.admit(now, m.admission.SetBundle(now, v.Bundle))
 	return m.take(now)
 }
