--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -502,6 +502,15 @@
 	return buildBundle(t, revision, services, indexes)
 }
 
+// changeServices returns a bundle whose services are changed.
+func changeServices(t testing.TB, b *config.Bundle, change func(search, orders *config.Service)) *config.Bundle {
+	search, orders := *b.Service("search"), *b.Service("orders")
+	change(&search, &orders)
+	searchIndex, ordersIndex := *b.Index("search"), *b.Index("orders")
+	searchIndex.Endpoints, ordersIndex.Endpoints = nil, nil
+	return buildBundle(t, b.Revision+1, []config.Service{search, orders}, []config.Index{searchIndex, ordersIndex})
+}
+
 // newSnapshot gives each shard two of the endpoints, or all three.
 func newSnapshot(id uint64, shards int, endpoints []string) config.Snapshot {
 	s := config.Snapshot{ID: id}
