--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -143,7 +143,7 @@
 	Expect(d.queries[ticket].Code).To(Equal(code))
 	Expect(d.queries[ticket].RequestID).To(Equal("r"))
 	Expect(code.Class()).To(Equal(result.ClassNotRun))
-		if code != result.AllRefused {
+	if code != result.AllRefused {
 		Expect(d.routed).NotTo(ContainElement(HaveField("Request.Body", "text")), "it was dispatched")
 	}
 },
