Count covered shards and grow the slices of a wide query once

Cause: each reply scanned all shards for covered ones, and the dispatches of a plan grew their slices step by step.

--- a/internal/coordinator/queries.go
+++ b/internal/coordinator/queries.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/api"
@@ -139,6 +140,7 @@
 
 // apply carries out the actions of a query.
 func (m *Machine) apply(now time.Duration, r *running, a query.Actions) {
+	m.out.Dispatch = slices.Grow(m.out.Dispatch, len(a.Dispatch))
 	for _, d := range a.Dispatch {
 		m.dispatch(now, d)
 	}
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
@@ -61,6 +62,8 @@
 func (q *Query) plan(now time.Duration) {
 	q.shards = make([]shard, len(q.snapshot.Shards))
 	q.pending = len(q.shards)
+	q.covered = 0
+	q.out.Dispatch = slices.Grow(q.out.Dispatch, len(q.shards))
 	for i := range q.shards {
 		sh := &q.snapshot.Shards[i]
 		q.shards[i] = shard{keys: sh.Range, replicas: sh.Replicas}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -130,6 +130,7 @@
 	byAttempt   map[uint32]int
 	nextAttempt uint32
 	pending     int
+	covered     int
 	dispatched  int
 	// mayHaveRun tells that an attempt was not provably refused.
 	mayHaveRun bool
@@ -239,22 +240,12 @@
 
 // target returns when the query is answered with what has arrived.
 func (q *Query) target() time.Duration {
-	if q.p.Service.Preference != config.PreferLatency || q.covered() == 0 {
+	if q.p.Service.Preference != config.PreferLatency || q.covered == 0 {
 		return q.p.Deadline
 	}
 	return q.started + q.p.Service.LatencyTarget()
 }
 
-func (q *Query) covered() int {
-	n := 0
-	for i := range q.shards {
-		if q.shards[i].state == shardCovered {
-			n++
-		}
-	}
-	return n
-}
-
 // valid reports whether a good reply is from the pinned snapshot and from
 // inside the shard's range.
 func (q *Query) valid(s *shard, r *dispatch.Reply) bool {
@@ -274,6 +265,7 @@
 	s.hits = r.Hits
 	q.truncated = q.truncated || r.Truncated
 	q.pending--
+	q.covered++
 	q.cancelAttempts(s)
 	if q.suspect && a.alone {
 		q.suspect = false
