Bound the load of shedding replicas and the tail of stragglers

Change: two tests in virtual time send queries of 120 shards through the coordinator machine: one in which every replica sheds half its calls, one in which an attempt in a hundred takes twenty times as long. The same models are benchmarks.

--- /dev/null
+++ b/internal/coordinator/load_test.go
@@ -0,0 +1,228 @@
+package coordinator
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// wideLoad sends wide queries through one coordinator machine in virtual time.
+// attempt decides how an endpoint without a queue serves an attempt.
+type wideLoad struct {
+	m       *Machine
+	rng     *rand.Rand
+	now     time.Duration
+	order   uint64
+	events  eventHeap
+	attempt func(*rand.Rand) (refused bool, took time.Duration)
+	started map[Ticket]time.Duration
+	open    map[dispatch.Key]bool
+
+	latency    *hdrhistogram.Histogram
+	dispatched int
+	answered   int
+	covered    int
+	untrue     int
+}
+
+func newWideLoad(t testing.TB, service config.Service, replicas int) *wideLoad {
+	l := &wideLoad{
+		rng: rand.New(rand.NewPCG(1, 1)), now: time.Second, started: map[Ticket]time.Duration{},
+		open:    map[dispatch.Key]bool{},
+		latency: hdrhistogram.New(1, 60_000_000, 3),
+	}
+	l.m = New(Config{Self: deskSelf, Fingerprint: fingerprint}, l.rng)
+	l.m.SetView(l.now, newWideView(t, service, replicas))
+	return l
+}
+
+func (l *wideLoad) after(delay time.Duration, f func()) {
+	l.order++
+	heap.Push(&l.events, event{at: l.now + delay, order: l.order, run: f})
+}
+
+func (l *wideLoad) apply(a Actions) {
+	for _, r := range a.Dispatch {
+		l.send(r.Request)
+	}
+	for _, c := range a.Cancel {
+		l.end(time.Millisecond, dispatch.Reply{Key: c.Cancel.Key, Outcome: dispatch.Unknown, Code: result.Cancelled})
+	}
+	for _, q := range a.Queries {
+		l.answer(q)
+	}
+}
+
+func (l *wideLoad) send(r dispatch.Request) {
+	l.dispatched++
+	l.open[r.Key] = true
+	refused, took := l.attempt(l.rng)
+	if refused {
+		l.end(took, r.Refuse(result.EndpointShed))
+		return
+	}
+	l.end(took, wideReply(&r, []dispatch.Hit{{Document: r.Range.String()}}))
+}
+
+// end replies to an attempt, unless it has ended before.
+func (l *wideLoad) end(delay time.Duration, reply dispatch.Reply) {
+	l.after(delay, func() {
+		if !l.open[reply.Key] {
+			return
+		}
+		delete(l.open, reply.Key)
+		l.apply(l.m.Reply(l.now, reply))
+	})
+}
+
+// answer checks the coverage of an answer against what its hits name: each
+// shard has one document, named after its range.
+func (l *wideLoad) answer(q QueryAnswer) {
+	l.answered++
+	l.covered += q.Answer.Coverage.Covered
+	_ = l.latency.RecordValue((l.now - l.started[q.Ticket]).Microseconds())
+	delete(l.started, q.Ticket)
+	named := map[string]bool{}
+	for _, h := range q.Answer.Hits {
+		named[h.Document] = true
+	}
+	for _, missing := range q.Answer.Coverage.Missing {
+		if named[missing.Range.String()] {
+			l.untrue++
+		}
+		named[missing.Range.String()] = true
+	}
+	if len(named) != fanOut || len(q.Answer.Hits) != q.Answer.Coverage.Covered {
+		l.untrue++
+	}
+}
+
+// run sends queries at an interval and waits for all answers.
+func (l *wideLoad) run(queries int, every time.Duration) {
+	for i := range queries {
+		l.after(time.Duration(i)*every, func() {
+			t := Ticket(i + 1)
+			l.started[t] = l.now
+			l.apply(l.m.Query(l.now, t, api.QueryRequest{Service: "wide", Query: "text"}))
+		})
+	}
+	next := l.now
+	for len(l.events) > 0 || l.m.Running() > 0 {
+		if len(l.events) > 0 && l.events[0].at <= next {
+			l.now = l.events[0].at
+			heap.Pop(&l.events).(event).run()
+		} else {
+			l.now = next
+			l.apply(l.m.Tick(l.now))
+		}
+		next = l.m.Next(l.now)
+	}
+}
+
+// perShard returns the dispatches for each shard asked for.
+func (l *wideLoad) perShard() float64 { return float64(l.dispatched) / float64(l.answered*fanOut) }
+
+func (l *wideLoad) quantile(q float64) time.Duration {
+	return time.Duration(l.latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// sheddingHalf refuses half of the attempts.
+func sheddingHalf(rng *rand.Rand) (bool, time.Duration) {
+	return rng.IntN(2) == 0, 2 * time.Millisecond
+}
+
+// straggling takes 4 to 6 ms, and twenty times as long in one of a hundred.
+func straggling(rng *rand.Rand) (bool, time.Duration) {
+	took := 4*time.Millisecond + time.Duration(rng.IntN(2000))*time.Microsecond
+	if rng.IntN(100) == 0 {
+		took *= 20
+	}
+	return false, took
+}
+
+func shed(t testing.TB, preference config.Preference, queries int) *wideLoad {
+	service := wideService()
+	service.MaxHits = fanOut
+	service.Preference = preference
+	l := newWideLoad(t, service, 2)
+	l.attempt = sheddingHalf
+	l.run(queries, 5*time.Millisecond)
+	return l
+}
+
+func straggle(t testing.TB, hedges, queries int) *wideLoad {
+	service := wideService()
+	service.MaxHits = fanOut
+	service.LatencyTargetMS = service.DeadlineMS
+	service.Hedge = config.Hedge{PercentilePerMille: 950, Max: hedges, BudgetPerMille: 50}
+	l := newWideLoad(t, service, 2)
+	l.attempt = straggling
+	l.run(queries, 5*time.Millisecond)
+	return l
+}
+
+func TestEveryReplicaShedsHalf(t *testing.T) {
+	g := NewWithT(t)
+	for _, preference := range []config.Preference{config.PreferLatency, config.PreferCoverage} {
+		l := shed(t, preference, 300)
+		g.Expect(l.answered).To(Equal(300))
+		g.Expect(l.perShard()).To(BeNumerically("<=", 1.2), "dispatches a shard")
+		g.Expect(l.perShard()).To(BeNumerically(">", 1.05), "the budget is left unused")
+		g.Expect(l.untrue).To(BeZero(), "answers with untrue coverage")
+		g.Expect(l.covered).To(BeNumerically(">", l.answered*fanOut/2), "covered shards")
+	}
+}
+
+func TestHedgesCarryTheTail(t *testing.T) {
+	g := NewWithT(t)
+	none, two := straggle(t, 0, 1000), straggle(t, 2, 1000)
+	g.Expect(two.quantile(99)).To(BeNumerically("<=", none.quantile(99)/3), "p99")
+	g.Expect(two.perShard()).To(BeNumerically("<=", 1.05), "dispatches a shard")
+	for _, l := range []*wideLoad{none, two} {
+		g.Expect(l.covered).To(Equal(l.answered*fanOut), "covered shards")
+		g.Expect(l.untrue).To(BeZero())
+	}
+}
+
+// BenchmarkStragglers answers wide queries of which one attempt in a hundred
+// takes twenty times as long.
+func BenchmarkStragglers(b *testing.B) {
+	for hedges := range 3 {
+		b.Run(fmt.Sprintf("hedges=%d", hedges), func(b *testing.B) {
+			for b.Loop() {
+				report(b, straggle(b, hedges, 5000))
+			}
+		})
+	}
+}
+
+// BenchmarkShedding answers wide queries while each replica sheds half its
+// calls.
+func BenchmarkShedding(b *testing.B) {
+	for _, preference := range []config.Preference{config.PreferLatency, config.PreferCoverage} {
+		b.Run(string(preference), func(b *testing.B) {
+			for b.Loop() {
+				report(b, shed(b, preference, 2000))
+			}
+		})
+	}
+}
+
+func report(b *testing.B, l *wideLoad) {
+	b.ReportMetric(float64(l.quantile(50).Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(l.quantile(99).Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(l.quantile(99.9).Microseconds())/1000, "p99.9-ms")
+	b.ReportMetric(l.perShard(), "dispatches/shard")
+	b.ReportMetric(float64(l.covered)/float64(l.answered*fanOut), "coverage")
+	b.ReportMetric(0, "ns/op")
+}
