--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -262,6 +262,7 @@
 		d.reply(d.last().Refuse(result.EndpointShed))
 		d.reply(d.last().Refuse(result.EndpointShed))
 	}, result.AllRefused, result.PermitBurnt, 2),
+	Entry("was refused as quarantined", func(d *desk) { d.reply(d.last().Refuse(result.Quarantined)) }, result.Quarantined, result.PermitBurnt, 1),
 	Entry("crashed its endpoint", func(d *desk) { d.reply(d.last().Lose(result.EndpointCrashed)) }, result.OutcomeUnknown, result.OutcomeUnknown, 1),
 	Entry("was not written", func(d *desk) {
 		d.apply(d.m.NotWritten(d.now, deskPeer, d.keys()))
--- a/internal/coordinator/submits.go
+++ b/internal/coordinator/submits.go
@@ -232,6 +232,10 @@
 		m.finishSubmit(s, outcomeOf(&r))
 		return
 	}
+	if r.Code == result.Quarantined {
+		m.burn(now, s, result.Quarantined)
+		return
+	}
 	if !query.RelayFault(r.Code) {
 		s.tried = append(s.tried, r.Endpoint)
 	}
--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -46,6 +46,8 @@
 	switch code {
 	case result.NoReplica:
 		return result.MissingNoReplica
+	case result.Quarantined:
+		return result.MissingQuarantined
 	case result.SnapshotGone:
 		return result.MissingSnapshotGone
 	case result.RangeNotHeld:
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -28,9 +28,13 @@
 	q.send(now, i, endpoint)
 }
 
-// noReplica gives a shard up, or looks for a replica again later if the service
+// noReplica restarts the query if replicas of the shard lost the snapshot. Else
+// it gives the shard up, or looks for a replica again later if the service
 // prefers coverage.
 func (q *Query) noReplica(now time.Duration, s *shard) {
+	if len(s.gone) > 0 && q.restart(now) {
+		return
+	}
 	if !q.patient() {
 		q.giveUp(s, result.MissingNoReplica)
 		return
@@ -152,6 +156,10 @@
 // budget allows it, else after a backoff.
 func (q *Query) scheduleRetry(now time.Duration, i int) {
 	s := &q.shards[i]
+	if s.reason == result.Quarantined {
+		q.giveUp(s, result.MissingQuarantined)
+		return
+	}
 	if s.retries >= q.p.Service.Retry.Max && !q.patient() {
 		q.giveUp(s, missingCode(s.reason))
 		return
@@ -204,13 +212,17 @@
 	return q.p.Replicas.Pick(now, s.replicas, s.gone)
 }
 
-// tickShard sends what is due of one shard.
+// tickShard sends what is due of one shard. A shard that waits for its retry has
+// no attempt to hedge.
 func (q *Query) tickShard(now time.Duration, i int) {
 	s := &q.shards[i]
 	if s.state != shardPending {
 		return
 	}
-	q.retryDue(now, i)
+	if s.waiting {
+		q.retryDue(now, i)
+		return
+	}
 	q.hedgeDue(now, i)
 }
 
--- a/internal/query/fault_test.go
+++ b/internal/query/fault_test.go
@@ -58,6 +58,7 @@
 // bench runs one query against endpoints with given behaviours.
 type bench struct {
 	behaviours map[string]behaviour
+	leaving    map[string]bool
 	service    config.Service
 	suspicion  view.Suspicion
 	shards     int
@@ -88,11 +89,11 @@
 	}
 }
 
-func (b *bench) Eligible(time.Duration, string) bool { return true }
+func (b *bench) Eligible(_ time.Duration, id string) bool { return !b.leaving[id] }
 
 func (b *bench) Pick(_ time.Duration, candidates, exclude []string) (string, bool) {
 	for _, c := range candidates {
-		if !slices.Contains(exclude, c) {
+		if !slices.Contains(exclude, c) && !b.leaving[c] {
 			return c, true
 		}
 	}
@@ -253,6 +254,29 @@
 		Expect(a.Hits).To(Equal(expected(1, []keyrange.Range{keyrange.All()}, 100)))
 	})
 
+	It("restarts when the replicas that may still hold the newest are leaving", func() {
+		b := newBench()
+		gone := func(r dispatch.Request) (dispatch.Reply, time.Duration, bool) {
+			if r.Snapshot == 2 {
+				return r.Refuse(result.SnapshotGone), replyTime, true
+			}
+			return healthy(r)
+		}
+		b.behaviours["e1"], b.behaviours["e2"] = gone, gone
+		b.leaving = map[string]bool{"e3": true}
+		a := b.run()
+		Expect(a.Code).To(Equal(result.Complete))
+		Expect(a.Snapshot).To(BeEquivalentTo(1))
+	})
+
+	It("does not retry what a relay knows to be quarantined", func() {
+		b := newBench()
+		quarantined := refusing(result.Quarantined)
+		b.behaviours["e1"], b.behaviours["e2"], b.behaviours["e3"] = quarantined, quarantined, quarantined
+		Expect(b.run().Code).To(Equal(result.Quarantined))
+		Expect(b.sent).To(HaveLen(6))
+	})
+
 	It("is not run when every attempt is refused", func() {
 		b := newBench()
 		shed := refusing(result.EndpointShed)
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -210,7 +210,7 @@
 		q.expire()
 		return q.take()
 	}
-	for i := range q.shards {
+	for i := 0; i < len(q.shards); i++ { // a restart changes the shards
 		q.tickShard(now, i)
 	}
 	q.resume(now)
