--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,7 +68,7 @@
 		d.Kill()
 		return nil, err
 	}
-	log.Info().Str("peer", d.PeerAddress()).Str("caller", d.CallerAddress()).Str("admin", d.AdminAddress()).
+	log.Info().Str("peer_address", d.PeerAddress()).Str("caller_address", d.CallerAddress()).Str("admin_address", d.AdminAddress()).
 		Str("data_centre", s.DataCentre).Str("version", version.String()).Msg("host started")
 	return d, nil
 }
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -30,6 +30,9 @@
 			return fmt.Sprintf("%v=", v)
 		},
 		FormatFieldValue: func(v any) string {
+			if raw, ok := v.([]byte); ok {
+				return quote(string(raw))
+			}
 			return quote(fmt.Sprint(v))
 		},
 		FormatErrFieldName: func(v any) string {
