Don't wait for a platform that failed to answer

Cause: a host replaced during a platform outage waited the whole start wait of 10 s although its peers had answered.

Change: a failed call counts as asked; a peer's answer is still needed then.

--- a/internal/control/fetch.go
+++ b/internal/control/fetch.go
@@ -173,6 +173,7 @@
 		*at = now + watchPause
 	} else {
 		f.pollPending = 0
+		m.sync.platformAsked = true
 	}
 	if err != nil {
 		m.platformFailed(err)
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -19,6 +19,8 @@
 	alone            bool
 	peerAnswered     bool
 	platformAnswered bool
+	// platformAsked tells that a call to the platform ended, well or not.
+	platformAsked bool
 }
 
 func (s *syncState) begin(now time.Duration) { *s = syncState{since: now} }
@@ -72,7 +74,8 @@
 	if s.refreshing {
 		return s.peerAnswered || s.platformAnswered
 	}
-	return s.platformAnswered && (s.peerAnswered || m.fetch.listed && m.roster.Known() == 0)
+	noPeers := m.fetch.listed && m.roster.Known() == 0
+	return s.platformAsked && (s.peerAnswered || s.platformAnswered && noPeers)
 }
 
 // assignmentKey tells what an assignment was worked out from.
