Read the admin API from the command line and follow a directory

Cause: operators need the configuration in force, the fleet, endpoints, quarantine and permits as tables and JSON.

Change: gypsumlug config status, fleet, endpoints, quarantine and permits; the stand-ins follow the directory; the reader of a directory stands once.

--- /dev/null
+++ b/cmd/gypsumlug/fleet.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/gypsumlug/gypsumlug/api/admin"
+)
+
+type fleetCmd struct {
+	adminFlags
+}
+
+// Run prints the hosts that a host knows.
+func (c *fleetCmd) Run(env *environment) error {
+	var hosts admin.Hosts
+	if err := c.read(env.ctx, admin.PathHosts, &hosts); err != nil {
+		return err
+	}
+	return env.print(hosts, func(t table.Writer) {
+		t.AppendHeader(table.Row{"host", "data centre", "state", "alive", "listed", "revision", "heard", "start"})
+		for _, h := range hosts.Hosts {
+			t.AppendRow(table.Row{h.Address, h.DataCentre, h.State, h.Alive, h.Listed, h.Revision, heard(h), h.Start})
+		}
+	})
+}
+
+func heard(h admin.Host) string {
+	switch {
+	case h.Self:
+		return "this host"
+	case h.AgeMS < 0:
+		return "never"
+	default:
+		return fmt.Sprintf("%d ms ago", h.AgeMS)
+	}
+}
--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -20,6 +20,11 @@
 	Query         queryCmd         `cmd:"" help:"Query a service."`
 	Submit        submitCmd        `cmd:"" help:"Run a request at most once, under a permit."`
 	Questionnaire questionnaireCmd `cmd:"" help:"Check, generate, explain and compare questionnaires."`
+	Config        configCmd        `cmd:"" help:"Show the configuration in force."`
+	Fleet         fleetCmd         `cmd:"" help:"Show the hosts that a host knows."`
+	Endpoints     endpointsCmd     `cmd:"" help:"Show the endpoints and why one is out."`
+	Quarantine    quarantineCmd    `cmd:"" help:"Show the requests that crashed endpoints."`
+	Permits       permitsCmd       `cmd:"" help:"Show a host's permits in numbers."`
 	Load          loadCmd          `cmd:"" help:"Measure latency, coverage and extra load under faults, on loopback."`
 	Standin       standinCmd       `cmd:"" help:"Start a platform and endpoints on loopback, for experiments."`
 	Capacity      capacityCmd      `cmd:"" help:"Work out what each role of a host needs at a size, from measured slopes."`
@@ -27,7 +32,7 @@
 	Version       versionCmd       `cmd:"" help:"Print the version."`
 }
 
-const description = `Query services, submit requests that may run only once, and work on the questionnaire.
+const description = `Query services, submit requests that may run only once, work on the questionnaire, and look at hosts.
 
 The exit code is 0 if the result is complete, else the class of its result code: 2 partial, 3 not run, 4 unknown, 5 failed, 6 a fault in a file, an address or the command line. See "gypsumlug codes".`
 
--- a/cmd/gypsumlug/standin.go
+++ b/cmd/gypsumlug/standin.go
@@ -1,22 +1,17 @@
 package main
 
 import (
-	"io/fs"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/load"
-	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
 )
 
 type standinCmd struct {
-	Configuration string        `help:"Directory with manifest.json and its documents, as generate writes them. Endpoints take the addresses that it gives them." type:"existingdir" xor:"what"`
-	Deployment    string        `help:"Workload of the load command to start, without --configuration." default:"fanout" xor:"what"`
+	Configuration string        `help:"Directory with manifest.json and its documents, as generate writes them. Endpoints take the addresses that it gives them; a higher revision written there is published." type:"existingdir"`
+	Deployment    string        `help:"Workload of the load command to start, without --configuration." default:"fanout"`
 	Scale         float64       `help:"Factor on the number of services of the workload." default:"1"`
 	Platform      string        `help:"IP and port of the platform; with --configuration only." default:"127.0.0.1:0"`
 	ServiceTime   time.Duration `help:"Mean time of a request at an endpoint; with --configuration only." default:"2ms"`
@@ -54,6 +49,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Configuration != "" {
+		platform.Follow(env.ctx, c.Configuration)
+	}
 	<-env.ctx.Done()
 	return nil
 }
@@ -66,7 +64,7 @@
 		}
 		return d.Platform, d.Endpoints(), d.Close, nil
 	}
-	manifest, documents, err := readConfiguration(c.Configuration)
+	manifest, documents, err := standin.ReadConfiguration(c.Configuration)
 	if err != nil {
 		return nil, nil, nil, err
 	}
@@ -78,26 +76,3 @@
 	}
 	return configured.Platform, configured.Endpoints, configured.Close, nil
 }
-
-const manifestFile = "manifest.json"
-
-// readConfiguration reads the manifest and, by their hash, all other files.
-func readConfiguration(dir string) ([]byte, map[string][]byte, error) {
-	manifest, err := os.ReadFile(filepath.Join(dir, manifestFile))
-	if err != nil {
-		return nil, nil, result.Errorf(result.Unreachable, "%v", err)
-	}
-	documents := make(map[string][]byte)
-	err = filepath.WalkDir(dir, func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || entry.Name() == manifestFile {
-			return err
-		}
-		data, err := os.ReadFile(path)
-		documents[config.Hash(data)] = data
-		return err
-	})
-	if err != nil {
-		return nil, nil, result.Errorf(result.Unreachable, "%v", err)
-	}
-	return manifest, documents, nil
-}
