Log booleans and lists as text

Cause: a log line said ready="[116 114 117 101]", since zerolog's console writer passes such values as bytes.

Change: bytes are taken as text.

Conclusion: the test pins one whole line; it failed before.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -24,23 +24,32 @@
 			return fmt.Sprintf("level=%v", v)
 		},
 		FormatMessage: func(v any) string {
-			return "message=" + quote(fmt.Sprint(v))
+			return "message=" + quote(text(v))
 		},
 		FormatFieldName: func(v any) string {
 			return fmt.Sprintf("%v=", v)
 		},
 		FormatFieldValue: func(v any) string {
-			return quote(fmt.Sprint(v))
+			return quote(text(v))
 		},
 		FormatErrFieldName: func(v any) string {
 			return fmt.Sprintf("%v=", v)
 		},
 		FormatErrFieldValue: func(v any) string {
-			return quote(fmt.Sprint(v))
+			return quote(text(v))
 		},
 	}
 }
 
+// text returns the text of a value; the console writer passes booleans and
+// composite values as the bytes of their JSON.
+func text(v any) string {
+	if data, ok := v.([]byte); ok {
+		return string(data)
+	}
+	return fmt.Sprint(v)
+}
+
 // quote quotes a value that would break the key=value form.
 func quote(v string) string {
 	if v == "" || strings.ContainsAny(v, " \t\r\n\"=") {
