End a load run even if its hosts hang

A trial with the thin path did not end: the hedge timer of a query at its limit of hedges stayed due, and the coordinator's step looped. A run now ends after a bounded wait whatever became of its hosts.

--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,6 +28,8 @@
 	stopTimeout   = 10 * time.Second
 	loopbackAny   = "127.0.0.1:0"
 	metricsPath   = "/metrics"
+	// metricsTimeout bounds the reading of one host's metrics.
+	metricsTimeout = 2 * time.Second
 	// maxMetricsBytes bounds what is read of a host's metrics.
 	maxMetricsBytes = 16 << 20
 )
@@ -101,12 +104,24 @@
 	return nil
 }
 
+// stop ends all daemons at once. It gives up waiting after stopTimeout, so that a
+// run ends by itself whatever became of its hosts.
 func (h *hosts) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
+	var group sync.WaitGroup
 	for _, d := range h.daemons {
 		// What a host leaves unfinished at the end of a run is not measured.
-		_ = d.Stop(ctx)
+		group.Go(func() { _ = d.Stop(ctx) })
+	}
+	stopped := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
 	}
 }
 
@@ -180,6 +195,8 @@
 }
 
 func addCounters(ctx context.Context, address string, sum map[string]float64) error {
+	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+metricsPath, http.NoBody)
 	if err != nil {
 		return eris.Wrap(err, "metrics request cannot be made")
