--- a/internal/capacity/sizes.go
+++ b/internal/capacity/sizes.go
@@ -3,6 +3,8 @@
 // arithmetic; docs/CAPACITY.md holds the tables that it makes.
 package capacity
 
+import "github.com/gypsumlug/gypsumlug/internal/roster"
+
 // Sizes describe a fleet, its traffic and what goes on in it.
 type Sizes struct {
 	Hosts       int `json:"hosts"`
@@ -47,10 +49,10 @@
 	return Sizes{
 		Hosts: 570, Endpoints: 3500, Regions: 2, DataCentres: 6,
 		QueriesPerSecond: 110_000, FanOut: 120, AnswerSeconds: 0.21,
-		Slots: 6, MaxConnections: 100, RelaysPerEndpoint: 2, Generations: 2,
-		WatchersPerDataCentre: 2, PlatformCallsPerSecond: 2000,
+		Slots: 6, MaxConnections: 100, RelaysPerEndpoint: roster.MinRelays, Generations: roster.Generations,
+		WatchersPerDataCentre: roster.WatchersPerDataCentre, PlatformCallsPerSecond: 2000,
 		ChangesPerDay: 2000, FailuresPerDay: 14, RestartsPerDay: 1000,
-		SubmitShare: 0.05, PermitSeconds: 90, Suspects: 256, HostsPerRack: 16, ConnectMS: 6,
+		SubmitShare: 0.05, PermitSeconds: 90, Suspects: 4096, HostsPerRack: 16, ConnectMS: 6,
 	}
 }
 
--- a/internal/capacity/slopes_memory_test.go
+++ b/internal/capacity/slopes_memory_test.go
@@ -17,6 +17,9 @@
 	"github.com/gypsumlug/gypsumlug/internal/endpointhttp"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/permit"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
+	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
 	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 	"github.com/gypsumlug/gypsumlug/internal/view"
@@ -26,6 +29,8 @@
 func BenchmarkSlopeMemory(b *testing.B) {
 	b.Run("belief", func(b *testing.B) { perEntry(b, 3500, beliefs(b, 3500)) })
 	b.Run("subrequest", func(b *testing.B) { perEntry(b, 50*memoryEndpoints, subRequests(b)) })
+	b.Run("permit", func(b *testing.B) { perEntry(b, 10_000, permits(b)) })
+	b.Run("suspect", func(b *testing.B) { perEntry(b, 4096, suspects()) })
 	b.Run("connection", func(b *testing.B) { perEntry(b, 400, connections(b)) })
 }
 
@@ -151,3 +156,36 @@
 		return c
 	}
 }
+
+// permits issues permits and ends each with an outcome.
+func permits(b *testing.B) filler {
+	service := testsuite.NewService(memoryService)
+	service.Repeatable = false
+	service.Permit = config.Permit{LifetimeMS: 30_000, RetentionMS: 60_000, Limit: 1 << 20}
+	return func(n int) any {
+		ledger := permit.New(view.Incarnation{Address: "127.0.0.1:1", Start: 1}, permit.Config{MaxPermits: 1 << 20})
+		rng := rand.New(rand.NewPCG(1, 1))
+		for range n {
+			ids, err := ledger.Mint(0, &service, 1, rng)
+			check(b, err)
+			ledger.Submit(0, ids[0], rng.Uint64())
+			attempt, refusal := ledger.Begin(0, ids[0])
+			if refusal != nil {
+				b.Fatal(refusal)
+			}
+			ledger.End(0, ids[0], attempt, result.Done, "accepted pharmacy-ordering 0123456789abcdef")
+		}
+		return ledger
+	}
+}
+
+// suspects records crashes of one endpoint with one request each.
+func suspects() filler {
+	return func(n int) any {
+		set := quarantine.New(quarantine.Config{})
+		for i := range n {
+			set.Crash(0, view.Crash{Endpoint: "dispatch-desk-01-1", InFlight: []view.Fingerprint{view.Fingerprint(i + 1)}})
+		}
+		return set
+	}
+}
