Let the control loop sleep until its next tick

Cause: control.Machine.Next returns the time until the next tick; the daemon took it for a point in time and subtracted the present again, so that the timer was always due and the loop spun.

Change: the timer is reset to what Next returns.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -60,8 +60,7 @@
 		case <-timer.C:
 			l.carryOut(l.machine.Tick(l.clock.now()))
 		}
-		now := l.clock.now()
-		timer.Reset(max(0, l.machine.Next(now)-now))
+		timer.Reset(l.machine.Next(l.clock.now()))
 	}
 }
 
