--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -57,8 +57,12 @@
 // Class returns the class of c.
 func (c Code) Class() Class { return Class(c / 100) }
 
-// String returns the symbolic name of c, or its number if it has none.
+// String returns the symbolic name of c, "ok" for zero, or its number if it has
+// none.
 func (c Code) String() string {
+	if c == 0 {
+		return "ok"
+	}
 	if e, ok := byCode[c]; ok {
 		return e.Name
 	}
