Count calls for documents under one label

Cause: gypsumlug_platform_calls_total had the hash of each document in its label, so that every revision added counters that stay for the life of a process.

Change: the platform client reports all documents under the prefix of their path.

Conclusion: the new test failed before.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,8 @@
 // maxIdleConnections bounds the idle connections kept to one address.
 const maxIdleConnections = 4
 
-// CallHook is told of each HTTP call after it ended. code is zero if the call
+// CallHook is told of each HTTP call after it ended. path is one of the paths of
+// platformapi, PathDocument for every document. code is zero if the call
 // succeeded.
 type CallHook func(path string, code result.Code)
 
@@ -183,6 +185,9 @@
 	if c.options.OnCall == nil {
 		return
 	}
+	if strings.HasPrefix(path, platformapi.PathDocument) {
+		path = platformapi.PathDocument
+	}
 	if failure == nil {
 		c.options.OnCall(path, 0)
 		return
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -114,3 +114,16 @@
 	_, err = platform.New(platform.Options{}).Document(context.Background(), "00")
 	Expect(codeOf(err)).To(Equal(result.PlatformUnavailable))
 })
+
+var _ = It("reports calls by path without the hashes of documents", func() {
+	address := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("data")) })
+	var paths []string
+	client := platform.New(platform.Options{Addresses: []string{address}, OnCall: func(path string, _ result.Code) {
+		paths = append(paths, path)
+	}})
+	for _, hash := range []string{"a1", "b2"} {
+		_, err := client.Document(context.Background(), hash)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	Expect(paths).To(Equal([]string{platformapi.PathDocument, platformapi.PathDocument}))
+})
