--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,8 +14,8 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
