--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -76,9 +75,3 @@
 	}
 	return out
 }
-
-// WriteMetrics implements adminapi.Source.
-func (s adminSource) WriteMetrics(w io.Writer) {
-	s.d.counters.Write(w)
-	s.d.peerSet.WritePrometheus(w)
-}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,11 @@
 	FamilyConfiguration = "gypsumlug_configuration_refusals_total"
 )
 
+// CodeName returns the name of the counter of a family and code.
+func CodeName(family string, code result.Code) string {
+	return fmt.Sprintf(`%s{code="%d",reason="%s"}`, family, code, code)
+}
+
 // Counters are the counters of one host. It is safe for concurrent use.
 type Counters struct {
 	set *metrics.Set
@@ -69,8 +74,7 @@
 func (c *Counters) addCode(key codeKey) *metrics.Counter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	name := fmt.Sprintf(`%s{code="%d",reason="%s"}`, key.family, key.code, key.code)
-	counter := c.set.GetOrCreateCounter(name)
+	counter := c.set.GetOrCreateCounter(CodeName(key.family, key.code))
 	c.byCode[key] = counter
 	return counter
 }
