Retry at once when an endpoint could not be reached

Cause: a retry after a failed connection was taken from the retry budget, though the attempt had reached no endpoint. With one replica of every shard lost, the budget was spent and shards waited for backoffs.

Change: a retry after connect-failed (338) is free. The replica counts as tried, so the backoff bounds such retries once every replica was tried.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// neverSent reports whether an attempt that was refused with the code reached no
+// endpoint. Its retry adds no load there and takes nothing from the budget. The
+// replica counts as tried, so that such retries are bounded by the backoff once
+// every replica was.
+func neverSent(code result.Code) bool { return code == result.ConnectFailed }
+
 // abandon gives up every pending shard.
 func (q *Query) abandon(code result.Code) {
 	for i := range q.shards {
@@ -185,7 +191,7 @@
 		q.noReplica(now, s)
 		return
 	}
-	if !q.p.Budgets.TakeRetry() {
+	if !neverSent(s.reason) && !q.p.Budgets.TakeRetry() {
 		q.event(EventRetryDenied, s.reason)
 		s.retryAt = now + q.nextBackoff(s)
 		return
