Ask again for a hedge that the budget denied

Cause: a shard whose hedge was denied got no other chance and waited for its straggler or its silent connection until the deadline.

Change: the hedge is due again after another hedge delay; the budget bounds hedges as before.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -233,6 +233,7 @@
 	}
 	if !q.p.Budgets.TakeHedge() {
 		q.event(EventHedgeDenied, 0)
+		s.hedgeAt = now + q.p.Replicas.HedgeDelay(q.p.Service)
 		return
 	}
 	s.hedges++
--- a/internal/query/fault_test.go
+++ b/internal/query/fault_test.go
@@ -61,6 +61,8 @@
 	service    config.Service
 	suspicion  view.Suspicion
 	shards     int
+	// budgets are those of the query; nil gives it as much as it asks for.
+	budgets query.Budgets
 
 	now      time.Duration
 	rng      *rand.Rand
@@ -120,9 +122,12 @@
 
 // run steps the query through its deliveries and timers until its answer.
 func (b *bench) run() *query.Answer {
+	if b.budgets == nil {
+		b.budgets = b
+	}
 	q := query.New(query.Params{
 		ID: "q", Service: &b.service, Index: b.index(), Deadline: b.service.Deadline(),
-		Suspicion: b.suspicion, Replicas: b, Budgets: b, Rand: b.rng,
+		Suspicion: b.suspicion, Replicas: b, Budgets: b.budgets, Rand: b.rng,
 	})
 	b.apply(q.Start(0))
 	for b.answer == nil {
