Wait for the next control tick and report unreachable peers

Cause: control.Machine.Next returns the time until the next tick, and the loop took it for a point in time. From the second second on, the timer was reset to zero and the control goroutine ticked without a pause. Besides, nothing told the machine of peers that cannot be reached.

Conclusion: found by reading the loop; no figure was taken.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
@@ -10,6 +11,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
 	"github.com/gypsumlug/gypsumlug/internal/platform"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
+	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 	"github.com/gypsumlug/gypsumlug/internal/view"
 )
@@ -60,8 +62,7 @@
 		case <-timer.C:
 			l.carryOut(l.machine.Tick(l.clock.now()))
 		}
-		now := l.clock.now()
-		timer.Reset(max(0, l.machine.Next(now)-now))
+		timer.Reset(l.machine.Next(l.clock.now()))
 	}
 }
 
@@ -118,7 +119,13 @@
 		l.publish(a.View)
 	}
 	for _, h := range a.Heartbeats {
-		l.peers.Post(peer.Message{To: h.To, Kind: peerwire.KindHeartbeat, Body: h.Message, Within: fetchTimeout})
+		l.peers.Post(peer.Message{
+			To:     h.To,
+			Kind:   peerwire.KindHeartbeat,
+			Body:   h.Message,
+			Within: fetchTimeout,
+			Done:   func(err error) { l.sent(h.To, err) },
+		})
 	}
 	for _, s := range a.FetchManifests {
 		go l.fetchManifest(s)
@@ -134,6 +141,14 @@
 	}
 }
 
+// sent takes what became of a message to a peer.
+func (l *controlLoop) sent(to string, err error) {
+	var coded *result.Error
+	if errors.As(err, &coded) && coded.Code == result.PeerUnreachable {
+		l.offer(func(now time.Duration) control.Actions { return l.machine.Unreachable(now, to) })
+	}
+}
+
 func (l *controlLoop) fetchManifest(s control.Source) {
 	ctx, cancel := context.WithTimeout(l.ctx, fetchTimeout)
 	defer cancel()
