Keep closed permits known while hosts are replaced one after another

Cause: a host replaced at the same address answered 402 for the permits of its former incarnation and its successor was not asked; a host that stopped did not hand on what it held for others; and a successor that was replaced at the same address was still the only one asked. Work that peers sent before they heard of the shutdown was cut, since the stop did not wait for it.

Change: ledgers go to two successors, which are asked in order, and a stopping host hands on its archive too. A replaced issuer leads to the successors. The stop waits for relayed work again after the peer server closed. Permits are never dispatched by a successor, as before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -58,15 +58,16 @@
 }
 
 // Forward is a submit to ask the permit's issuer about. The driver answers the
-// ticket itself: with the issuer's answer; if the issuer could not be reached,
-// with that of Successor, or else IssuerUnreachable; and with ForwardUnknown if
-// it was reached and gave no answer.
+// ticket itself: with the issuer's answer; if the issuer could not be reached or
+// was replaced, with that of the first of Successors that knows the permit, or
+// else IssuerUnreachable or IssuerReplaced; and with ForwardUnknown if the issuer
+// was reached and gave no answer. The issuer's address may be this host's.
 type Forward struct {
-	Ticket    Ticket
-	Issuer    view.Incarnation
-	Successor string
-	Request   api.SubmitRequest
-	Budget    time.Duration
+	Ticket     Ticket
+	Issuer     view.Incarnation
+	Successors []string
+	Request    api.SubmitRequest
+	Budget     time.Duration
 }
 
 // PauseGap is the least time between two steps after which the host counts as
--- a/internal/coordinator/permits.go
+++ b/internal/coordinator/permits.go
@@ -52,8 +52,8 @@
 	return len(s.Callers) == 0
 }
 
-// Closed returns the ended permits for a handover.
-func (m *Machine) Closed() []peerwire.ClosedPermit { return m.ledger.Closed() }
+// Handovers returns the ended permits that a stopping host gives to others.
+func (m *Machine) Handovers() []peerwire.Handover { return m.ledger.Handovers() }
 
 // Receive keeps the ended permits of a stopped host.
 func (m *Machine) Receive(now time.Duration, h peerwire.Handover) peerwire.HandoverAnswer {
@@ -61,13 +61,13 @@
 	return peerwire.HandoverAnswer{Kept: m.ledger.Receive(now, h)}
 }
 
-// successor returns the host that a stopping issuer hands its ledger to.
-func (m *Machine) successor(id permit.ID) string {
+// successors returns the hosts that a stopping issuer hands its ledger to.
+func (m *Machine) successors(id permit.ID) []string {
 	addresses := make([]string, 0, len(m.view.Hosts)+1)
 	for i := range m.view.Hosts {
 		if a := m.view.Hosts[i].Incarnation.Address; a != id.Issuer.Address {
 			addresses = append(addresses, a)
 		}
 	}
-	return permit.Successor(id.Issuer, append(addresses, m.cfg.Self.Address))
+	return permit.Successors(id.Issuer, append(addresses, m.cfg.Self.Address))
 }
--- a/internal/coordinator/submits.go
+++ b/internal/coordinator/submits.go
@@ -61,12 +61,13 @@
 
 func (m *Machine) decide(now time.Duration, ticket Ticket, s api.SubmitRequest, id permit.ID, forwarded bool) {
 	d := m.ledger.Submit(now, id, permit.HashRequest(s.Caller, s.Key, s.Body))
-	switch d.Verdict {
-	case permit.Dispatch:
+	replaced := d.Verdict == permit.Refuse && d.Code == result.IssuerReplaced && !forwarded
+	switch {
+	case d.Verdict == permit.Dispatch:
 		m.begin(now, ticket, s, id)
-	case permit.Running:
+	case d.Verdict == permit.Running:
 		m.join(now, ticket, &s, d)
-	case permit.Foreign:
+	case d.Verdict == permit.Foreign || replaced:
 		m.forward(now, ticket, s, id, forwarded)
 	default:
 		m.answerSubmit(ticket, s.RequestID, s.Permit, answerOf(&d))
@@ -124,7 +125,7 @@
 		limit = budget(service, s.BudgetMS)
 	}
 	m.out.Forwards = append(m.out.Forwards, Forward{
-		Ticket: ticket, Issuer: id.Issuer, Successor: m.successor(id), Request: s, Budget: limit,
+		Ticket: ticket, Issuer: id.Issuer, Successors: m.successors(id), Request: s, Budget: limit,
 	})
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -78,7 +78,10 @@
 		Kind:   peerwire.KindDispatch,
 		Body:   peerwire.Dispatch{Requests: requests},
 		Within: within,
-		Done:   func(err error) { go d.carried(to, keys, err) },
+		Done: func(err error) {
+			go d.carried(to, keys, err)
+			d.control.sent(to, err)
+		},
 	})
 }
 
@@ -136,22 +139,32 @@
 	})
 }
 
-// forward implements carrier. The successor of a gone issuer holds its closed
-// permits after a planned stop; it answers and never dispatches.
+// forward implements carrier. The successor of a gone or replaced issuer holds
+// its closed permits after a planned stop; it answers and never dispatches.
 func (d *Daemon) forward(f coordinator.Forward) api.SubmitAnswer {
-	answer, err := d.askAbout(f.Issuer.Address, f)
-	switch {
-	case err == nil:
-		return answer
-	case !peer.Undelivered(err):
-		return api.RefuseSubmit(f.Request, result.ForwardUnknown.Error())
+	gone := result.IssuerReplaced
+	if f.Issuer.Address != d.self.Incarnation.Address {
+		answer, err := d.askAbout(f.Issuer.Address, f)
+		switch {
+		case err == nil && answer.Code != result.IssuerReplaced:
+			return answer
+		case err == nil:
+		case peer.Undelivered(err):
+			gone = result.IssuerUnreachable
+		default:
+			return api.RefuseSubmit(f.Request, result.ForwardUnknown.Error())
+		}
 	}
-	if f.Successor != d.self.Incarnation.Address {
-		if answer, err := d.askAbout(f.Successor, f); err == nil {
+	for _, successor := range f.Successors {
+		if successor == d.self.Incarnation.Address {
+			continue
+		}
+		answer, err := d.askAbout(successor, f)
+		if err == nil && answer.Code != result.IssuerUnreachable {
 			return answer
 		}
 	}
-	return api.RefuseSubmit(f.Request, result.IssuerUnreachable.Error())
+	return api.RefuseSubmit(f.Request, gone.Error())
 }
 
 func (d *Daemon) askAbout(address string, f coordinator.Forward) (api.SubmitAnswer, error) {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -30,6 +30,7 @@
 	d.waitIdle(ctx)
 	d.handOver(ctx)
 	_ = d.peerServer.Shutdown(ctx)
+	d.waitIdle(ctx) // Work that peers sent before they heard of the shutdown.
 	d.Kill()
 	if err == nil {
 		err = ctx.Err()
@@ -67,27 +68,33 @@
 	}
 }
 
-// handOver gives the closed permits to the successor, so that repeated submits
-// still learn their outcome. Without it they are answered as unknown.
+// handOver gives the closed permits to their successors, so that repeated
+// submits still learn their outcome. Without it they are answered as unknown.
 func (d *Daemon) handOver(ctx context.Context) {
-	var closed []peerwire.ClosedPermit
-	d.coordinator.read(func(time.Duration) { closed = d.coordinator.machine.Closed() })
+	var handovers []peerwire.Handover
+	d.coordinator.read(func(time.Duration) { handovers = d.coordinator.machine.Handovers() })
 	v := d.view.Load()
 	addresses := make([]string, 0, len(v.Hosts))
 	for i := range v.Hosts {
 		addresses = append(addresses, v.Hosts[i].Incarnation.Address)
 	}
-	to := permit.Successor(d.self.Incarnation, addresses)
-	if len(closed) == 0 || to == "" {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	for _, h := range permit.Batches(d.self.Incarnation, closed, handoverBytes) {
+	for _, h := range handovers {
+		for _, to := range permit.Successors(h.Issuer, addresses) {
+			if err := d.handOverTo(ctx, to, h); err != nil {
+				d.log.Warn().Err(err).Str("to", to).Msg("permits not handed over")
+			}
+		}
+	}
+}
+
+func (d *Daemon) handOverTo(ctx context.Context, to string, h peerwire.Handover) error {
+	for _, batch := range permit.Batches(h.Issuer, h.Entries, handoverBytes) {
 		var answer peerwire.HandoverAnswer
-		if err := d.peers.Call(ctx, to, peerwire.KindHandover, h, &answer); err != nil {
-			d.log.Warn().Err(err).Str("to", to).Msg("permits not handed over")
-			return
+		if err := d.peers.Call(ctx, to, peerwire.KindHandover, batch, &answer); err != nil {
+			return err
 		}
 	}
+	return nil
 }
--- a/internal/permit/archive.go
+++ b/internal/permit/archive.go
@@ -1,7 +1,10 @@
 package permit
 
 import (
+	"cmp"
 	"container/heap"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
@@ -132,3 +135,23 @@
 		a.bytes -= len(e.outcome)
 	}
 }
+
+// handovers returns what is held, in the order of issuers and sequences.
+func (a *Archive) handovers(now time.Duration) []peerwire.Handover {
+	keys := slices.SortedFunc(maps.Keys(a.entries), func(x, y archiveKey) int {
+		return cmp.Or(
+			cmp.Compare(x.issuer.Address, y.issuer.Address),
+			cmp.Compare(x.issuer.Start, y.issuer.Start),
+			cmp.Compare(x.sequence, y.sequence),
+		)
+	})
+	var out []peerwire.Handover
+	for _, key := range keys {
+		if len(out) == 0 || out[len(out)-1].Issuer != key.issuer {
+			out = append(out, peerwire.Handover{Issuer: key.issuer})
+		}
+		last := &out[len(out)-1]
+		last.Entries = append(last.Entries, a.entries[key].closed(now))
+	}
+	return out
+}
--- a/internal/permit/handover.go
+++ b/internal/permit/handover.go
@@ -45,6 +45,16 @@
 	return closed
 }
 
+// Handovers returns the ended permits of this host and those that it keeps for
+// stopped hosts, by issuer. It leaves out issuers of which nothing is held.
+func (l *Ledger) Handovers() []peerwire.Handover {
+	out := l.archive.handovers(l.now)
+	if closed := l.Closed(); len(closed) > 0 {
+		out = append(out, peerwire.Handover{Issuer: l.self, Entries: closed})
+	}
+	return out
+}
+
 // Stats counts the permits by state.
 type Stats struct {
 	ByState [StateCount]int
@@ -112,15 +122,23 @@
 	return batches
 }
 
-// Successor returns the address, out of hosts, to which a stopping issuer hands
-// its ledger and which others ask when the issuer is gone. Hosts with different
-// views may disagree about it; the submit is then answered as unknown. It
-// returns the empty string if hosts is empty.
-func Successor(issuer view.Incarnation, hosts []string) string {
+// SuccessorCount is the number of hosts that get a ledger. With two, one of them
+// may be replaced, and may hand on what it holds, before the other is.
+const SuccessorCount = 2
+
+// Successors returns the addresses, out of hosts, to which a stopping issuer
+// hands its ledger and which others ask in this order when the issuer is gone.
+// Hosts with different views may disagree about them; the submit is then
+// answered as unknown.
+func Successors(issuer view.Incarnation, hosts []string) []string {
 	candidates := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == issuer.Address })
-	if len(candidates) == 0 {
-		return ""
-	}
 	slices.Sort(candidates)
-	return rendezvous.New(candidates, xxhash.Sum64String).Lookup(ID{Issuer: issuer}.String())
+	key := ID{Issuer: issuer}.String()
+	var chosen []string
+	for len(candidates) > 0 && len(chosen) < SuccessorCount {
+		next := rendezvous.New(candidates, xxhash.Sum64String).Lookup(key)
+		chosen = append(chosen, next)
+		candidates = slices.DeleteFunc(candidates, func(h string) bool { return h == next })
+	}
+	return chosen
 }
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -160,12 +160,12 @@
 		Expect(receiver.Receive(time.Hour, own)).To(Equal(0))
 	})
 
-	ginkgo.It("names one successor whatever the order of the hosts, and never the issuer", func() {
+	ginkgo.It("names two successors whatever the order of the hosts, and never the issuer", func() {
 		hosts := []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
-		first := Successor(issuer, hosts)
-		Expect(first).To(BeElementOf(hosts[1:]))
-		Expect(Successor(issuer, []string{hosts[2], hosts[1], hosts[0]})).To(Equal(first))
-		Expect(Successor(issuer, hosts[:1])).To(BeEmpty())
+		first := Successors(issuer, hosts)
+		Expect(first).To(ConsistOf(hosts[1:]))
+		Expect(Successors(issuer, []string{hosts[2], hosts[1], hosts[0]})).To(Equal(first))
+		Expect(Successors(issuer, hosts[:1])).To(BeEmpty())
 	})
 })
 
