Prove planned stops and crashes with daemons under load

Four hosts serve queries and submits, most of them relayed, while each is stopped and replaced in turn, half of them at the same address, or killed and restarted.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,10 @@
 	hosts []*daemon.Daemon
 }
 
+// balancerLag is longer than the traffic's balancer needs to notice a host that
+// is not ready.
+const balancerLag = 400 * time.Millisecond
+
 func newCluster(hosts int, services ...standin.ServiceShape) *cluster {
 	GinkgoHelper()
 	d, err := standin.NewDeployment(standin.DeploymentOptions{Services: services, Seed: 1, RecordBodies: true})
@@ -53,13 +58,35 @@
 		AdminAddress:  "127.0.0.1:0",
 		DataCentre:    "dc1",
 		Platform:      []string{"http://" + c.Platform.Address()},
-	}, zerolog.New(GinkgoWriter))
+		BalancerLagMS: int(balancerLag.Milliseconds()),
+		StartWaitMS:   2000,
+	}, zerolog.New(GinkgoWriter).With().Str("host", peerAddress).Logger())
 	Expect(err).NotTo(HaveOccurred())
 	c.hosts = append(c.hosts, h)
 	c.publishHosts()
 	return h
 }
 
+// stop ends a host gracefully; it is in the list until it has ended.
+func (c *cluster) stop(h *daemon.Daemon) {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	Expect(h.Stop(ctx)).To(Succeed())
+	c.remove(h)
+}
+
+// kill ends a host at once.
+func (c *cluster) kill(h *daemon.Daemon) {
+	h.Kill()
+	c.remove(h)
+}
+
+func (c *cluster) remove(h *daemon.Daemon) {
+	c.hosts = slices.DeleteFunc(c.hosts, func(other *daemon.Daemon) bool { return other == h })
+	c.publishHosts()
+}
+
 func (c *cluster) publishHosts() {
 	var list []platformapi.HostEntry
 	for _, h := range c.hosts {
