--- a/internal/endpointhttp/client.go
+++ b/internal/endpointhttp/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,8 +72,11 @@
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 
-	mu    sync.RWMutex
-	pools map[string]*pool
+	mu     sync.RWMutex
+	closed bool
+	pools  map[string]*pool
+	// retired pools still carry attempts to removed targets or old addresses.
+	retired []*pool
 }
 
 // New returns a client without targets. Close releases it.
@@ -116,35 +120,68 @@
 }
 
 // SetTarget adds an endpoint or changes its limits. A changed address closes
-// the connections to the old one as they become idle.
+// the connections to the old one as they become idle; attempts that wait move
+// to the new one.
 func (c *Client) SetTarget(t Target) {
 	c.mu.Lock()
-	p := c.pools[t.Endpoint]
-	if p != nil && p.address != t.Address {
-		p.remove()
-		p = nil
+	defer c.mu.Unlock()
+	if c.closed {
+		return
 	}
-	if p == nil {
-		p = newPool(c, t)
-		c.pools[t.Endpoint] = p
+	c.dropEmptyLocked()
+	old := c.pools[t.Endpoint]
+	if old != nil && old.address == t.Address {
+		old.setLimits(t.Warm, t.Max)
+		return
 	}
-	c.mu.Unlock()
+	p := c.reviveLocked(t)
+	c.pools[t.Endpoint] = p
 	p.setLimits(t.Warm, t.Max)
+	if old != nil {
+		c.retired = append(c.retired, old)
+		for _, j := range old.remove() {
+			p.submit(j)
+		}
+	}
 }
 
-// RemoveTarget closes the connections of an endpoint as they become idle.
+// reviveLocked returns the retired pool of the target if it has open
+// connections, so that they count against the maximum, or a new one.
+func (c *Client) reviveLocked(t Target) *pool {
+	i := slices.IndexFunc(c.retired, func(p *pool) bool { return p.endpoint == t.Endpoint && p.address == t.Address })
+	if i < 0 {
+		return newPool(c, t)
+	}
+	p := c.retired[i]
+	c.retired = slices.Delete(c.retired, i, i+1)
+	p.revive()
+	return p
+}
+
+// RemoveTarget closes the connections of an endpoint as they become idle and
+// refuses the attempts that wait for one.
 func (c *Client) RemoveTarget(endpoint string) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	p := c.pools[endpoint]
+	if p == nil {
+		return
+	}
 	delete(c.pools, endpoint)
-	c.mu.Unlock()
-	if p != nil {
-		p.remove()
+	c.dropEmptyLocked()
+	c.retired = append(c.retired, p)
+	for _, j := range p.remove() {
+		j.refuse(result.UnknownEndpoint)
 	}
 }
 
+func (c *Client) dropEmptyLocked() {
+	c.retired = slices.DeleteFunc(c.retired, func(p *pool) bool { return p.connections() == 0 })
+}
+
 // Send carries an attempt to its endpoint and calls done exactly once, from
-// another goroutine, with what is known of it.
+// another goroutine, with what is known of it. done may call Send and Cancel; it
+// must not block, since a connection may wait for it.
 func (c *Client) Send(req dispatch.Request, done func(dispatch.Reply)) {
 	p := c.pool(req.Endpoint)
 	if p == nil {
@@ -157,8 +194,15 @@
 // Cancel withdraws an attempt. An attempt that was not written is refused; the
 // endpoint is told to give up one that was.
 func (c *Client) Cancel(cancel dispatch.Cancel) {
-	if p := c.pool(cancel.Endpoint); p != nil {
-		p.cancel(cancel.Key)
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if p := c.pools[cancel.Endpoint]; p != nil && p.cancel(cancel.Key) {
+		return
+	}
+	for _, p := range c.retired {
+		if p.endpoint == cancel.Endpoint && p.cancel(cancel.Key) {
+			return
+		}
 	}
 }
 
@@ -168,9 +212,7 @@
 	if p == nil {
 		return 0
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
+	return p.connections()
 }
 
 // Close closes every connection and waits for the goroutines to end. Attempts
@@ -178,8 +220,12 @@
 func (c *Client) Close() {
 	c.stop()
 	c.mu.Lock()
-	pools := c.pools
-	c.pools = make(map[string]*pool)
+	c.closed = true
+	pools := c.retired
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	c.pools, c.retired = make(map[string]*pool), nil
 	c.mu.Unlock()
 	for _, p := range pools {
 		p.close()
--- a/internal/endpointhttp/codec.go
+++ b/internal/endpointhttp/codec.go
@@ -4,29 +4,17 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/url"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 )
 
-// countingWriter counts the bytes that the socket took.
-type countingWriter struct {
-	w io.Writer
-	n int
-}
-
-// Write implements io.Writer.
-func (c *countingWriter) Write(p []byte) (int, error) {
-	n, err := c.w.Write(p)
-	c.n += n
-	return n, err
-}
+// maxKeptBytes is the largest buffer that a connection keeps for its next
+// request or reply.
+const maxKeptBytes = 64 << 10
 
 // response is a parsed HTTP response.
 type response struct {
@@ -47,29 +35,22 @@
 	return req.Key.Request + "/" + strconv.FormatUint(uint64(req.Attempt), 10)
 }
 
-func (c *conn) write(j *job) error {
-	request, err := c.newRequest(j)
-	if err != nil {
-		return err
-	}
-	if err := request.Write(c.w); err != nil {
-		return err
-	}
-	return c.w.Flush()
-}
-
-func (c *conn) newRequest(j *job) (*http.Request, error) {
+// encode puts the whole request of the job into c.request, so that nothing but
+// one write stands between the last checks and the socket.
+func (c *conn) encode(j *job) error {
 	switch j.kind {
 	case jobProbe:
-		return c.httpRequest(http.MethodGet, endpointapi.PathStatus, nil)
+		c.encodeHead(http.MethodGet, endpointapi.PathStatus)
+		c.request = append(c.request, "\r\n"...)
+		return nil
 	case jobCancel:
-		return c.httpRequest(http.MethodPost, endpointapi.PathCancel, endpointapi.Cancel{ID: requestID(&j.req)})
+		return c.encodePost(endpointapi.PathCancel, endpointapi.Cancel{ID: requestID(&j.req)})
 	}
 	path := endpointapi.PathSearch
 	if j.req.Operation == dispatch.Submit {
 		path = endpointapi.PathSubmit
 	}
-	return c.httpRequest(http.MethodPost, path, endpointapi.Request{
+	return c.encodePost(path, endpointapi.Request{
 		ID:       requestID(&j.req),
 		Service:  j.req.Service,
 		Snapshot: j.req.Snapshot,
@@ -80,27 +61,38 @@
 	})
 }
 
-func (c *conn) httpRequest(method, path string, message any) (*http.Request, error) {
-	request := &http.Request{
-		Method: method,
-		URL:    &url.URL{Path: path},
-		Host:   c.pool.address,
-		Header: http.Header{},
-	}
-	if message == nil {
-		return request, nil
+func (c *conn) encodePost(path string, message any) error {
+	c.resetBody()
+	if err := json.NewEncoder(&c.body).Encode(message); err != nil {
+		return err
 	}
-	body, err := json.Marshal(message)
-	if err != nil {
-		return nil, err
+	c.encodeHead(http.MethodPost, path)
+	c.request = append(c.request, "Content-Type: application/json\r\nContent-Length: "...)
+	c.request = strconv.AppendInt(c.request, int64(c.body.Len()), 10)
+	c.request = append(c.request, "\r\n\r\n"...)
+	c.request = append(c.request, c.body.Bytes()...)
+	return nil
+}
+
+// encodeHead starts the request with the request line and the host.
+func (c *conn) encodeHead(method, path string) {
+	if cap(c.request) > maxKeptBytes {
+		c.request = nil
 	}
-	request.Header["Content-Type"] = jsonContentType
-	request.Body = io.NopCloser(bytes.NewReader(body))
-	request.ContentLength = int64(len(body))
-	return request, nil
+	c.request = append(c.request[:0], method...)
+	c.request = append(c.request, ' ')
+	c.request = append(c.request, path...)
+	c.request = append(c.request, " HTTP/1.1\r\nHost: "...)
+	c.request = append(c.request, c.pool.address...)
+	c.request = append(c.request, "\r\n"...)
 }
 
-var jsonContentType = []string{"application/json"}
+func (c *conn) resetBody() {
+	if c.body.Cap() > maxKeptBytes {
+		c.body = bytes.Buffer{}
+	}
+	c.body.Reset()
+}
 
 // read reads one response. An error means that no whole response came.
 func (c *conn) read(j *job) (response, error) {
@@ -108,42 +100,20 @@
 	if err != nil {
 		return response{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(raw.Body, endpointapi.MaxReplyBytes+1))
+	c.resetBody()
+	_, err = c.body.ReadFrom(io.LimitReader(raw.Body, endpointapi.MaxReplyBytes+1))
 	_ = raw.Body.Close()
 	if err != nil {
 		return response{}, err
 	}
-	out := response{httpStatus: raw.StatusCode, close: raw.Close || len(body) > endpointapi.MaxReplyBytes}
+	body := c.body.Bytes()
+	whole := len(body) <= endpointapi.MaxReplyBytes
+	out := response{httpStatus: raw.StatusCode, close: raw.Close || !whole}
 	switch j.kind {
 	case jobProbe:
-		out.valid = json.Unmarshal(body, &out.status) == nil
+		out.valid = whole && json.Unmarshal(body, &out.status) == nil
 	case jobAttempt:
-		out.valid = len(body) <= endpointapi.MaxReplyBytes && json.Unmarshal(body, &out.reply) == nil
+		out.valid = whole && json.Unmarshal(body, &out.reply) == nil
 	}
 	return out, nil
 }
-
-// usable reports whether an idle connection is still open and has no unread
-// bytes. It looks at the socket without blocking and consumes nothing, so that
-// a request is not written to a connection that the endpoint has closed.
-func (c *conn) usable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.raw.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var peek [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && open
-}
--- a/internal/endpointhttp/job.go
+++ b/internal/endpointhttp/job.go
@@ -16,15 +16,22 @@
 	jobProbe
 )
 
-// job is one request to write to a connection.
+// job is one request to write to a connection. It has one owner at a time, the
+// waiting list of a pool or a connection, and only the owner ends it.
 //
-// Concurrency: mu guards conn, cancelled and ended, which the connection's
-// goroutine and cancel share.
+// Concurrency: mu guards the fields below it, which the connection's goroutine
+// and cancel share.
 type job struct {
 	kind     jobKind
 	req      dispatch.Request
+	created  time.Time
 	deadline time.Time
 	done     func(dispatch.Reply)
+	// expiry refuses the job at its deadline while it waits.
+	expiry *time.Timer
+	// moves counts the connections that were opened for the job and failed before
+	// it was written.
+	moves int
 
 	mu        sync.Mutex
 	conn      *conn
@@ -33,7 +40,8 @@
 }
 
 func newJob(req dispatch.Request, done func(dispatch.Reply)) *job {
-	return &job{kind: jobAttempt, req: req, deadline: time.Now().Add(req.Budget), done: done}
+	now := time.Now()
+	return &job{kind: jobAttempt, req: req, created: now, deadline: now.Add(req.Budget), done: done}
 }
 
 func newProbeJob(timeout time.Duration) *job {
@@ -44,18 +52,30 @@
 	return &job{kind: jobCancel, req: of.req, deadline: time.Now().Add(timeout)}
 }
 
-// begin marks the job as being written to c. It reports false if the job was
-// cancelled, and then nothing may be written.
-func (j *job) begin(c *conn) bool {
+// begin makes the last checks before the job is written to c. It returns the
+// code to refuse the job with, and then nothing may be written, or zero.
+func (j *job) begin(c *conn) result.Code {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.cancelled {
-		return false
+		return result.CancelledBeforeSend
+	}
+	if j.expired() {
+		return result.ExpiredBeforeSend
 	}
 	j.conn = c
-	return true
+	return 0
+}
+
+// withdraw undoes begin: no byte was written.
+func (j *job) withdraw() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.conn = nil
 }
 
+func (j *job) expired() bool { return !time.Now().Before(j.deadline) }
+
 // cancel marks the job as cancelled and reports whether it was written already.
 // A written job has only the grace left to reply.
 func (j *job) cancel(grace time.Duration) bool {
@@ -68,7 +88,9 @@
 	if j.conn == nil {
 		return false
 	}
-	_ = j.conn.raw.SetReadDeadline(time.Now().Add(grace))
+	if limit := time.Now().Add(grace); limit.Before(j.deadline) {
+		_ = j.conn.sock.SetDeadline(limit)
+	}
 	return true
 }
 
@@ -79,16 +101,18 @@
 	return j.cancelled
 }
 
-func (j *job) refuse(code result.Code) { j.finish(j.req.Refuse(code)) }
-
-// finish reports the outcome once. Only attempts have a listener.
-func (j *job) finish(r dispatch.Reply) {
+// end closes the job to cancellation.
+func (j *job) end() {
 	j.mu.Lock()
-	repeated := j.ended
+	defer j.mu.Unlock()
 	j.ended = true
-	j.mu.Unlock()
-	if repeated || j.done == nil {
-		return
+}
+
+// refuse ends a job that was never written, from any goroutine. Only attempts
+// have a listener.
+func (j *job) refuse(code result.Code) {
+	j.end()
+	if j.done != nil {
+		go j.done(j.req.Refuse(code))
 	}
-	go j.done(r)
 }
--- /dev/null
+++ b/internal/endpointhttp/limits.go
@@ -0,0 +1,83 @@
+package endpointhttp
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// surplusIdle is how long a connection above the warm number may idle.
+const surplusIdle = 30 * time.Second
+
+// setLimits changes the limits. Connections above the new maximum are closed
+// now if they are idle and otherwise when they have ended their job.
+func (p *pool) setLimits(warm, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.removed {
+		return
+	}
+	p.warm, p.max = min(warm, limit), limit
+	for p.open-p.closing > p.max && len(p.idle) > 0 {
+		p.orderLocked(0, order{close: CloseSurplus})
+	}
+	for p.max == 0 && len(p.waiting) > 0 {
+		p.refuseLocked(p.popWaitingLocked(), result.ConnectionLimit)
+	}
+	p.dialNeededLocked()
+}
+
+// maintain probes connections that were idle for the probe interval, closes
+// surplus ones and reopens missing warm ones.
+func (p *pool) maintain(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		switch {
+		case p.open-p.closing > p.warm && now.Sub(c.lastAttempt) > surplusIdle:
+			p.orderLocked(i, order{close: CloseSurplus})
+		case now.Sub(c.idleSince) >= p.client.opts.ProbeInterval:
+			p.orderLocked(i, order{job: newProbeJob(p.client.opts.ProbeTimeout)})
+		}
+	}
+	p.dialNeededLocked()
+}
+
+// remove closes idle connections now and busy ones when they become idle. It
+// returns the jobs that wait, which the pool forgets.
+func (p *pool) remove() []*job {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.removed = true
+	p.warm = 0
+	for len(p.idle) > 0 {
+		p.orderLocked(0, order{close: CloseRemoved})
+	}
+	var waiting []*job
+	for len(p.waiting) > 0 {
+		j := p.popWaitingLocked()
+		delete(p.jobs, j.req.Key)
+		waiting = append(waiting, j)
+	}
+	return waiting
+}
+
+func (p *pool) revive() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.removed = false
+}
+
+// close cuts every connection.
+func (p *pool) close() {
+	waiting := p.remove()
+	p.mu.Lock()
+	for c := range p.all {
+		_ = c.sock.Close()
+	}
+	p.mu.Unlock()
+	for _, j := range waiting {
+		j.refuse(result.Stopping)
+	}
+}
--- a/internal/endpointhttp/pool.go
+++ b/internal/endpointhttp/pool.go
@@ -11,13 +11,15 @@
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
-// surplusIdle is how long a connection above the warm number may idle.
-const surplusIdle = 30 * time.Second
+// maxMoves bounds the connections that are opened for a job and fail before it
+// is written, until it is refused.
+const maxMoves = 3
 
 // pool holds the connections to one endpoint at one address.
 //
 // Concurrency: mu guards every field below it. A connection is owned by its own
-// goroutine while it is busy and by the pool's idle list while it is not.
+// goroutine while it is busy and by the pool's idle list while it is not. Only a
+// connection on the idle list is given orders, and giving one takes it off.
 type pool struct {
 	client   *Client
 	endpoint string
@@ -26,13 +28,19 @@
 	// connection.
 	lastAlive atomic.Int64
 
-	mu      sync.Mutex
-	warm    int
-	max     int
-	open    int
+	mu   sync.Mutex
+	warm int
+	max  int
+	// open counts connections from the start of the dial to the close.
+	open int
+	// dialing and closing are parts of open.
+	dialing int
+	closing int
 	idle    []*conn
 	all     map[*conn]struct{}
 	waiting []*job
+	// cancels wait for a connection to become free.
+	cancels []*job
 	jobs    map[dispatch.Key]*job
 	removed bool
 }
@@ -47,19 +55,13 @@
 	}
 }
 
-func (p *pool) setLimits(warm, limit int) {
+func (p *pool) connections() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.warm, p.max = min(warm, limit), limit
-	for p.open < p.warm {
-		p.dialLocked(nil)
-	}
-	for p.open > p.max && len(p.idle) > 0 {
-		p.retireLocked(0, CloseSurplus)
-	}
+	return p.open
 }
 
-// submit gives the job to an idle connection, a new one, or the waiting list.
+// submit gives the job to an idle connection or the waiting list.
 func (p *pool) submit(j *job) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -68,220 +70,196 @@
 		return
 	}
 	if _, repeated := p.jobs[j.req.Key]; repeated {
-		j.refuse(result.CancelledBeforeSend)
+		// The attempt of this key may be written: nothing else is true of it.
+		go j.done(j.req.Lose(result.OutcomeUnknown))
 		return
 	}
 	p.jobs[j.req.Key] = j
 	p.assignLocked(j)
 }
 
-// resubmit assigns a job again that its connection could not carry.
-func (p *pool) resubmit(j *job) {
+// resubmit assigns again a job that its connection could not carry. opened tells
+// that the connection was opened since the job came.
+func (p *pool) resubmit(j *job, opened bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.assignLocked(j)
+	if opened {
+		j.moves++
+	}
+	code := p.resubmitCode(j)
+	if code == 0 {
+		p.assignLocked(j)
+		return
+	}
+	delete(p.jobs, j.req.Key)
+	j.refuse(code)
 }
 
-func (p *pool) assignLocked(j *job) {
+// resubmitCode returns why the job cannot be moved on, or zero.
+func (p *pool) resubmitCode(j *job) result.Code {
 	switch {
-	case len(p.idle) > 0:
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
-		c.jobs <- j
-	case p.open < p.max:
-		p.dialLocked(j)
-	case p.max == 0:
+	case p.removed:
+		return result.UnknownEndpoint
+	case j.wasCancelled():
+		return result.CancelledBeforeSend
+	case j.expired():
+		return result.ExpiredBeforeSend
+	case j.moves >= maxMoves:
+		return result.ConnectFailed
+	default:
+		return 0
+	}
+}
+
+func (p *pool) assignLocked(j *job) {
+	if last := len(p.idle) - 1; last >= 0 {
+		p.orderLocked(last, order{job: j})
+		return
+	}
+	if p.max == 0 {
 		delete(p.jobs, j.req.Key)
 		j.refuse(result.ConnectionLimit)
-	default:
-		p.waiting = append(p.waiting, j)
-		time.AfterFunc(time.Until(j.deadline), func() { p.dropWaiting(j, result.ExpiredBeforeSend) })
+		return
+	}
+	p.waiting = append(p.waiting, j)
+	j.expiry = time.AfterFunc(time.Until(j.deadline), func() { p.dropWaiting(j, result.ExpiredBeforeSend) })
+	p.dialNeededLocked()
+}
+
+// orderLocked takes the connection at position i off the idle list.
+func (p *pool) orderLocked(i int, o order) {
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	if o.job == nil {
+		p.closing++
+		c.closing = true
 	}
+	c.orders <- o
 }
 
 // dropWaiting refuses the job if it still waits for a connection.
 func (p *pool) dropWaiting(j *job, code result.Code) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	i := slices.Index(p.waiting, j)
-	if i >= 0 {
-		p.waiting = slices.Delete(p.waiting, i, i+1)
-		delete(p.jobs, j.req.Key)
-	}
-	p.mu.Unlock()
-	if i >= 0 {
-		j.refuse(code)
+	if i < 0 {
+		return
 	}
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	p.refuseLocked(j, code)
 }
 
-// dialLocked opens a connection, to carry j if it is not nil.
-func (p *pool) dialLocked(j *job) {
-	p.open++
-	p.client.wg.Go(func() { p.dial(j) })
+func (p *pool) refuseLocked(j *job, code result.Code) {
+	j.expiry.Stop()
+	delete(p.jobs, j.req.Key)
+	j.refuse(code)
+}
+
+// popWaitingLocked returns the job that waited longest.
+func (p *pool) popWaitingLocked() *job {
+	j := p.waiting[0]
+	p.waiting = slices.Delete(p.waiting, 0, 1)
+	j.expiry.Stop()
+	return j
+}
+
+// dialNeededLocked opens a connection for each job that waits, within the
+// maximum, and the missing warm ones.
+func (p *pool) dialNeededLocked() {
+	if p.removed {
+		return
+	}
+	for p.open < p.max && (p.dialing < len(p.waiting)+len(p.cancels) || p.open < p.warm) {
+		p.open++
+		p.dialing++
+		p.client.wg.Go(p.dial)
+	}
 }
 
-func (p *pool) dial(j *job) {
+func (p *pool) dial() {
 	ctx, cancel := context.WithTimeout(p.client.ctx, p.client.opts.DialTimeout)
 	defer cancel()
-	if j != nil {
-		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(ctx, j.deadline)
-		defer stop()
-	}
 	raw, err := p.client.opts.Dial(ctx, p.address)
 	p.client.opts.OnOpen(p.endpoint, err)
 	if err != nil {
-		p.dialFailed(j)
+		p.dialFailed()
 		return
 	}
 	c := newConn(p, raw)
 	p.mu.Lock()
+	p.dialing--
 	p.all[c] = struct{}{}
-	closing := p.removed && j == nil
 	p.mu.Unlock()
-	if closing {
-		p.closed(c, CloseRemoved)
-		return
-	}
-	c.run(j)
+	c.run()
 }
 
-// dialFailed refuses the job and, if no connection is left, all that wait.
-func (p *pool) dialFailed(j *job) {
+// dialFailed refuses the job that waited longest and, if no connection is left,
+// all that wait.
+func (p *pool) dialFailed() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open--
-	var refused []*job
-	if p.open == 0 {
-		refused, p.waiting = p.waiting, nil
-	}
-	if j != nil {
-		refused = append(refused, j)
-	}
-	for _, r := range refused {
-		delete(p.jobs, r.req.Key)
-	}
-	p.mu.Unlock()
-	for _, r := range refused {
-		r.refuse(result.ConnectFailed)
+	p.dialing--
+	p.cancels = nil
+	for len(p.waiting) > 0 {
+		p.refuseLocked(p.popWaitingLocked(), result.ConnectFailed)
+		if p.open > 0 {
+			return
+		}
 	}
 }
 
-// next is called by a connection that ended a job. It returns the job to carry
-// next, or puts the connection on the idle list and returns nil. It reports
-// false if the connection is to be closed.
-func (p *pool) next(c *conn) (*job, bool) {
+// next is called by a connection that ended a job, or has none yet. It returns
+// what to do next, or puts the connection on the idle list and returns nothing.
+func (p *pool) next(c *conn, ended *job) order {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.waiting) > 0 {
-		j := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		return j, true
-	}
-	if p.removed || p.open > p.max {
-		return nil, false
-	}
-	p.idle = append(p.idle, c)
-	return nil, true
-}
-
-// ended forgets a job whose outcome is known.
-func (p *pool) ended(j *job) {
-	p.mu.Lock()
-	delete(p.jobs, j.req.Key)
-	p.mu.Unlock()
-}
-
-// closed forgets a connection and replaces it if it is needed.
-func (p *pool) closed(c *conn, reason CloseReason) {
-	_ = c.raw.Close()
-	p.mu.Lock()
-	delete(p.all, c)
-	p.idle = slices.DeleteFunc(p.idle, func(i *conn) bool { return i == c })
-	p.open--
-	switch {
-	case len(p.waiting) > 0 && p.open < p.max:
-		j := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		p.dialLocked(j)
-	case p.open < p.warm && !p.removed && reason != CloseBroken && p.client.ctx.Err() == nil:
-		p.dialLocked(nil)
+	c.idleSince = time.Now()
+	p.endedLocked(c, ended)
+	if j := p.popCancelLocked(); j != nil {
+		return order{job: j}
 	}
-	p.mu.Unlock()
-	p.client.opts.OnClose(p.endpoint, reason)
-}
-
-// cancel withdraws a job: it is refused if it waits, and the endpoint is told
-// if it was written.
-func (p *pool) cancel(key dispatch.Key) {
-	p.mu.Lock()
-	j := p.jobs[key]
-	if j != nil && j.cancel(p.client.opts.CancelGrace) && !p.removed {
-		p.notifyCancelLocked(j)
+	if p.removed || p.open-p.closing > p.max {
+		p.closing++
+		c.closing = true
+		return order{close: p.surplusReason()}
 	}
-	p.mu.Unlock()
-	if j != nil {
-		p.dropWaiting(j, result.CancelledBeforeSend)
+	if len(p.waiting) > 0 {
+		return order{job: p.popWaitingLocked()}
 	}
+	p.idle = append(p.idle, c)
+	return order{}
 }
 
-// notifyCancelLocked tells the endpoint on an idle or new connection; without
-// one the connection of the job is closed after the grace.
-func (p *pool) notifyCancelLocked(j *job) {
-	if len(p.idle) > 0 || p.open < p.max {
-		p.assignLocked(newCancelJob(j, p.client.opts.ProbeTimeout))
+func (p *pool) surplusReason() CloseReason {
+	if p.removed {
+		return CloseRemoved
 	}
+	return CloseSurplus
 }
 
-// maintain probes connections that were idle for the probe interval, closes
-// surplus ones and reopens missing warm ones.
-func (p *pool) maintain(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		idle := now.Sub(p.idle[i].lastUsed)
-		switch {
-		case p.open > p.warm && idle > surplusIdle:
-			p.retireLocked(i, CloseSurplus)
-		case idle >= p.client.opts.ProbeInterval:
-			c := p.idle[i]
-			p.idle = slices.Delete(p.idle, i, i+1)
-			c.jobs <- newProbeJob(p.client.opts.ProbeTimeout)
-		}
-	}
-	for p.open < p.warm && !p.removed {
-		p.dialLocked(nil)
+func (p *pool) endedLocked(c *conn, j *job) {
+	if j == nil || j.kind != jobAttempt {
+		return
 	}
+	c.lastAttempt = time.Now()
+	delete(p.jobs, j.req.Key)
 }
 
-// retireLocked closes the idle connection at position i.
-func (p *pool) retireLocked(i int, reason CloseReason) {
-	c := p.idle[i]
-	p.idle = slices.Delete(p.idle, i, i+1)
-	c.retire <- reason
-}
-
-// remove closes idle connections now and busy ones when they become idle.
-func (p *pool) remove() {
+// closed forgets a connection and replaces it if it is needed. A broken one is
+// replaced only for work that waits, since the endpoint may be down.
+func (p *pool) closed(c *conn, ended *job, reason CloseReason) {
+	_ = c.sock.Close()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.removed = true
-	p.warm = 0
-	for len(p.idle) > 0 {
-		p.retireLocked(0, CloseRemoved)
+	p.endedLocked(c, ended)
+	delete(p.all, c)
+	p.open--
+	if c.closing {
+		p.closing--
 	}
-}
-
-// close cuts every connection.
-func (p *pool) close() {
-	p.remove()
-	p.mu.Lock()
-	waiting := p.waiting
-	p.waiting = nil
-	for c := range p.all {
-		_ = c.raw.Close()
+	if reason != CloseBroken || len(p.waiting) > 0 {
+		p.dialNeededLocked()
 	}
 	p.mu.Unlock()
-	for _, j := range waiting {
-		j.refuse(result.Stopping)
-	}
+	p.client.opts.OnClose(p.endpoint, reason)
 }
