--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -19,14 +20,29 @@
 		return
 	}
 	endpoint, ok := q.p.Replicas.Pick(now, s.replicas, s.gone)
+	q.p.Budgets.Primary()
 	if !ok {
-		q.giveUp(s, result.MissingNoReplica)
+		q.noReplica(now, s)
 		return
 	}
-	q.p.Budgets.Primary()
 	q.send(now, i, endpoint)
 }
 
+// noReplica gives a shard up, or looks for a replica again later if the service
+// prefers coverage.
+func (q *Query) noReplica(now time.Duration, s *shard) {
+	if !q.patient() {
+		q.giveUp(s, result.MissingNoReplica)
+		return
+	}
+	s.reason = result.NoReplica
+	s.waiting = true
+	s.retryAt = now + q.nextBackoff(s)
+}
+
+// patient reports whether missing shards are waited for until the deadline.
+func (q *Query) patient() bool { return q.p.Service.Preference == config.PreferCoverage }
+
 // mayRunAlone reports whether a suspect may be sent to a shard now: it has no
 // other attempt in flight and cannot take the shard's last replica down.
 func (q *Query) mayRunAlone(now time.Duration, s *shard) bool {
@@ -77,10 +93,10 @@
 func (q *Query) attemptFailed(now time.Duration, i int, a attempt, r *dispatch.Reply) {
 	s := &q.shards[i]
 	s.reason = r.Code
-	switch r.Code {
-	case result.SnapshotGone, result.RangeNotHeld:
+	switch {
+	case r.Code == result.SnapshotGone || r.Code == result.RangeNotHeld:
 		s.gone = addOnce(s.gone, r.Endpoint)
-	default:
+	case !RelayFault(r.Code):
 		s.tried = addOnce(s.tried, r.Endpoint)
 	}
 	if r.Code == result.EndpointCrashed {
@@ -100,6 +116,23 @@
 	q.scheduleRetry(now, i)
 }
 
+// RelayFault reports whether a code tells of the relay and not of the endpoint,
+// which may then be tried again through another relay.
+func RelayFault(code result.Code) bool {
+	switch code {
+	case result.PeerUnreachable, result.PeerQueueFull, result.Stopping, result.RelayLost:
+		return true
+	default:
+		return false
+	}
+}
+
+// neverSent reports whether an attempt that was refused with the code reached no
+// endpoint. Its retry adds no load there and takes nothing from the budget. The
+// replica counts as tried, so that such retries are bounded by the backoff once
+// every replica was.
+func neverSent(code result.Code) bool { return code == result.ConnectFailed }
+
 // abandon gives up every pending shard.
 func (q *Query) abandon(code result.Code) {
 	for i := range q.shards {
@@ -125,7 +158,7 @@
 // budget allows it, else after a backoff.
 func (q *Query) scheduleRetry(now time.Duration, i int) {
 	s := &q.shards[i]
-	if s.retries >= q.p.Service.Retry.Max {
+	if s.retries >= q.p.Service.Retry.Max && !q.patient() {
 		q.giveUp(s, missingCode(s.reason))
 		return
 	}
@@ -155,10 +188,10 @@
 	}
 	endpoint, ok := q.pickRetry(now, s)
 	if !ok {
-		q.giveUp(s, result.MissingNoReplica)
+		q.noReplica(now, s)
 		return
 	}
-	if !q.p.Budgets.TakeRetry() {
+	if !neverSent(s.reason) && !q.p.Budgets.TakeRetry() {
 		q.event(EventRetryDenied, s.reason)
 		s.retryAt = now + q.nextBackoff(s)
 		return
@@ -200,6 +233,7 @@
 	}
 	if !q.p.Budgets.TakeHedge() {
 		q.event(EventHedgeDenied, 0)
+		s.hedgeAt = now + q.p.Replicas.HedgeDelay(q.p.Service)
 		return
 	}
 	s.hedges++
--- a/internal/query/fault_test.go
+++ b/internal/query/fault_test.go
@@ -61,6 +61,8 @@
 	service    config.Service
 	suspicion  view.Suspicion
 	shards     int
+	// budgets are those of the query; nil gives it as much as it asks for.
+	budgets query.Budgets
 
 	now      time.Duration
 	rng      *rand.Rand
@@ -120,9 +122,12 @@
 
 // run steps the query through its deliveries and timers until its answer.
 func (b *bench) run() *query.Answer {
+	if b.budgets == nil {
+		b.budgets = b
+	}
 	q := query.New(query.Params{
 		ID: "q", Service: &b.service, Index: b.index(), Deadline: b.service.Deadline(),
-		Suspicion: b.suspicion, Replicas: b, Budgets: b, Rand: b.rng,
+		Suspicion: b.suspicion, Replicas: b, Budgets: b.budgets, Rand: b.rng,
 	})
 	b.apply(q.Start(0))
 	for b.answer == nil {
@@ -217,6 +222,19 @@
 		Expect(a.Covered).To(Equal(4))
 	})
 
+	It("retries until the deadline if coverage goes first", func() {
+		b := newBench()
+		b.service.Retry.Max = 1
+		shed := func(r dispatch.Request) (dispatch.Reply, time.Duration, bool) {
+			if b.now < b.service.Deadline()/2 {
+				return r.Refuse(result.EndpointShed), replyTime, true
+			}
+			return healthy(r)
+		}
+		b.behaviours["e1"], b.behaviours["e2"], b.behaviours["e3"] = shed, shed, shed
+		Expect(b.run().Code).To(Equal(result.Complete))
+	})
+
 	It("hedges a second time when the first hedge is slow", func() {
 		b := newBench()
 		b.behaviours["e1"], b.behaviours["e2"] = straggling, straggling
