Allocate less for an attempt at an endpoint

Cause: 42 allocations an attempt, among them the ID twice, an encoder and the growing list of documents.

Change: the ID is made once, the encoder belongs to the connection, and the list of documents has room for what was asked for, up to 16.

Figures: go test -run xxx -bench Attempt -benchmem -count=3 ./internal/endpointhttp, on a shared machine with a load average of 9: 37 allocations and 2.6 kB an attempt, from 42 and 3.8 kB; processor time with 16 attempts at a time 27.2 us in each run, as before (27.1 us); one at a time 32.6 to 33.6 us, from 34.6 us.

Conclusion: what remains is mostly encoding/json, net/http's reading of the head and system calls.

--- a/internal/endpointhttp/codec.go
+++ b/internal/endpointhttp/codec.go
@@ -16,6 +16,9 @@
 // request or reply.
 const maxKeptBytes = 64 << 10
 
+// maxHitsAhead bounds the room that is made for documents before they come.
+const maxHitsAhead = 16
+
 // response is a parsed HTTP response.
 type response struct {
 	httpStatus int
@@ -44,14 +47,14 @@
 		c.request = append(c.request, "\r\n"...)
 		return nil
 	case jobCancel:
-		return c.encodePost(endpointapi.PathCancel, endpointapi.Cancel{ID: requestID(&j.req)})
+		return c.encodePost(endpointapi.PathCancel, endpointapi.Cancel{ID: j.id})
 	}
 	path := endpointapi.PathSearch
 	if j.req.Operation == dispatch.Submit {
 		path = endpointapi.PathSubmit
 	}
 	return c.encodePost(path, endpointapi.Request{
-		ID:       requestID(&j.req),
+		ID:       j.id,
 		Service:  j.req.Service,
 		Snapshot: j.req.Snapshot,
 		Range:    j.req.Range,
@@ -63,7 +66,7 @@
 
 func (c *conn) encodePost(path string, message any) error {
 	c.resetBody()
-	if err := json.NewEncoder(&c.body).Encode(message); err != nil {
+	if err := c.encoder.Encode(message); err != nil {
 		return err
 	}
 	c.encodeHead(http.MethodPost, path)
@@ -113,7 +116,16 @@
 	case jobProbe:
 		out.valid = whole && json.Unmarshal(body, &out.status) == nil
 	case jobAttempt:
+		out.reply.Hits = newHits(&j.req)
 		out.valid = whole && json.Unmarshal(body, &out.reply) == nil
 	}
 	return out, nil
 }
+
+// newHits makes room for the documents that are asked for.
+func newHits(req *dispatch.Request) []dispatch.Hit {
+	if req.Operation == dispatch.Submit {
+		return nil
+	}
+	return make([]dispatch.Hit, 0, min(max(0, req.Limit), maxHitsAhead))
+}
--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"net"
 	"time"
 
@@ -22,6 +23,7 @@
 	// request and body are buffers that are kept from job to job.
 	request []byte
 	body    bytes.Buffer
+	encoder *json.Encoder
 	// orders has room for one, so that the pool never blocks: the pool sends only
 	// to a connection that it took from the idle list.
 	orders chan order
@@ -50,6 +52,7 @@
 	now := time.Now()
 	c := &conn{pool: p, sock: newSocket(raw), orders: make(chan order, 1), opened: now, lastAttempt: now}
 	c.r = bufio.NewReaderSize(c.sock, bufferBytes)
+	c.encoder = json.NewEncoder(&c.body)
 	return c
 }
 
--- a/internal/endpointhttp/job.go
+++ b/internal/endpointhttp/job.go
@@ -22,8 +22,10 @@
 // Concurrency: mu guards the fields below it, which the connection's goroutine
 // and cancel share.
 type job struct {
-	kind     jobKind
-	req      dispatch.Request
+	kind jobKind
+	req  dispatch.Request
+	// id is the ID of the request at the endpoint.
+	id       string
 	created  time.Time
 	deadline time.Time
 	done     func(dispatch.Reply)
@@ -41,7 +43,7 @@
 
 func newJob(req dispatch.Request, done func(dispatch.Reply)) *job {
 	now := time.Now()
-	return &job{kind: jobAttempt, req: req, created: now, deadline: now.Add(req.Budget), done: done}
+	return &job{kind: jobAttempt, req: req, id: requestID(&req), created: now, deadline: now.Add(req.Budget), done: done}
 }
 
 func newProbeJob(timeout time.Duration) *job {
@@ -49,7 +51,7 @@
 }
 
 func newCancelJob(of *job, timeout time.Duration) *job {
-	return &job{kind: jobCancel, req: of.req, deadline: time.Now().Add(timeout)}
+	return &job{kind: jobCancel, req: of.req, id: of.id, deadline: time.Now().Add(timeout)}
 }
 
 // begin makes the last checks before the job is written to c. It returns the
--- a/internal/endpointhttp/outcome.go
+++ b/internal/endpointhttp/outcome.go
@@ -81,7 +81,7 @@
 	case jobProbe:
 		inStep = c.observeStatus(response)
 	case jobAttempt:
-		out.reply, inStep = interpretAttempt(&j.req, response)
+		out.reply, inStep = interpretAttempt(j, &response)
 	}
 	if !inStep {
 		out.close = CloseProtocol
@@ -104,9 +104,9 @@
 
 // interpretAttempt reports false if the response broke the protocol, after which
 // replies on the connection may be out of step.
-func interpretAttempt(req *dispatch.Request, response response) (dispatch.Reply, bool) {
-	body := &response.reply
-	if !response.valid || body.ID != requestID(req) {
+func interpretAttempt(j *job, response *response) (dispatch.Reply, bool) {
+	req, body := &j.req, &response.reply
+	if !response.valid || body.ID != j.id {
 		return brokenReply(req), false
 	}
 	reply := dispatch.Reply{
