--- a/internal/control/fetch.go
+++ b/internal/control/fetch.go
@@ -8,7 +8,7 @@
 	// watchWait is how long a watch waits on the platform.
 	watchWait = 30 * time.Second
 	// watchPause is the least time between two watches.
-	watchPause = time.Second
+	watchPause = 200 * time.Millisecond
 	// watcherHostsInterval is how often a watcher reads the host list.
 	watcherHostsInterval = 30 * time.Second
 	// minPollInterval, maxPollInterval and pollPerHost give the interval of the
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -99,6 +99,8 @@
 	view        *view.View
 	table       *endpoint.Table
 	budgets     map[string]*budgets
+	hedges      *endpoint.Reserve
+	retries     *endpoint.Reserve
 	admission   *admission.Queue
 	ledger      *permit.Ledger
 	waiting     map[string]waitingQuery
@@ -140,6 +142,8 @@
 		view:        &view.View{Reason: result.NotReady},
 		table:       endpoint.NewTable(),
 		budgets:     make(map[string]*budgets),
+		hedges:      endpoint.NewReserve(hostHedgeBurst),
+		retries:     endpoint.NewReserve(hostRetryBurst),
 		admission:   admission.New(cfg.Limits),
 		ledger:      permit.New(cfg.Self, cfg.Permits),
 		waiting:     make(map[string]waitingQuery),
--- a/internal/coordinator/queries.go
+++ b/internal/coordinator/queries.go
@@ -104,16 +104,17 @@
 	r.timer = m.newTimer()
 	r.timer.query = r
 	r.query = query.New(query.Params{
-		ID:        id,
-		Service:   s,
-		Index:     x,
-		Body:      w.request.Query,
-		Limit:     w.request.Limit,
-		Deadline:  w.deadline,
-		Suspicion: m.view.Suspects[fingerprint],
-		Replicas:  replicas{m},
-		Budgets:   m.budgets[s.Name],
-		Rand:      m.rng,
+		ID:          id,
+		Service:     s,
+		Index:       x,
+		LatestIndex: func() *config.Index { return m.view.Bundle.Index(s.Name) },
+		Body:        w.request.Query,
+		Limit:       w.request.Limit,
+		Deadline:    w.deadline,
+		Suspicion:   m.view.Suspects[fingerprint],
+		Replicas:    replicas{m},
+		Budgets:     m.budgets[s.Name],
+		Rand:        m.rng,
 	})
 	m.queries[id] = r
 	m.apply(now, r, r.query.Start(now))
--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -33,9 +33,12 @@
 // minHedgeDelay keeps hedges from racing ordinary replies.
 const minHedgeDelay = time.Millisecond
 
-// minBudgetBurst is the least number of hedges or retries that a service saves
-// up.
-const minBudgetBurst = 16
+// Bursts of hedges and retries. Those of a host are shared by its services.
+const (
+	hostHedgeBurst = 16
+	hostRetryBurst = 32
+	serviceBurst   = 4
+)
 
 // route returns the relay for an endpoint: this host if it is one, else the
 // first that did not fail lately, starting at a position that differs between
@@ -181,18 +184,23 @@
 		}
 		m.budgets[name] = m.newBudgets(s)
 	}
+	m.growReserves()
 }
 
-// newBudgets gives a service a burst of one retry for each shard, so that the
-// loss of an endpoint with attempts in flight is made good at once.
+// newBudgets gives a service budgets that share the host's reserves.
 func (m *Machine) newBudgets(s *config.Service) *budgets {
-	shards := 0
-	if x := m.view.Bundle.Index(s.Name); len(x.Snapshots) > 0 {
-		shards = len(x.Snapshots[len(x.Snapshots)-1].Shards)
-	}
-	burst := max(minBudgetBurst, shards)
 	return &budgets{
-		hedge: endpoint.NewBudget(s.Hedge.BudgetPerMille, burst),
-		retry: endpoint.NewBudget(s.Retry.BudgetPerMille, burst),
+		hedge: m.hedges.Budget(s.Hedge.BudgetPerMille, serviceBurst),
+		retry: m.retries.Budget(s.Retry.BudgetPerMille, serviceBurst),
+	}
+}
+
+// growReserves lets the host retry every shard of its widest index at once, so
+// that the loss of an endpoint with attempts in flight is made good.
+func (m *Machine) growReserves() {
+	for name := range m.view.Bundle.Services() {
+		if x := m.view.Bundle.Index(name); len(x.Snapshots) > 0 {
+			m.retries.Grow(len(x.Snapshots[len(x.Snapshots)-1].Shards))
+		}
 	}
 }
--- a/internal/endpoint/budget.go
+++ b/internal/endpoint/budget.go
@@ -8,6 +8,8 @@
 	// tokens and limit count thousandths of a dispatch.
 	tokens int
 	limit  int
+	// reserve is shared with other budgets; it may be nil.
+	reserve *Reserve
 }
 
 const tokensPerDispatch = 1000
@@ -22,13 +24,61 @@
 func (b *Budget) SetShare(perMille int) { b.perMille = perMille }
 
 // Primary counts a primary dispatch.
-func (b *Budget) Primary() { b.tokens = min(b.tokens+b.perMille, b.limit) }
+func (b *Budget) Primary() {
+	b.tokens += b.perMille
+	if surplus := b.tokens - b.limit; surplus > 0 {
+		b.tokens = b.limit
+		b.reserve.add(surplus)
+	}
+}
 
-// Take spends one dispatch if there is one.
+// Take spends one dispatch if there is one, of the budget's own first.
 func (b *Budget) Take() bool {
 	if b.tokens < tokensPerDispatch {
-		return false
+		return b.reserve.take()
 	}
 	b.tokens -= tokensPerDispatch
 	return true
 }
+
+// Reserve is a burst that the budgets of several services share, so that many
+// services with little traffic do not add up to many bursts. Over any run, the
+// successful Takes of all its budgets are at most their shares of the Primary
+// calls, plus the burst of the reserve.
+type Reserve struct {
+	tokens int
+	limit  int
+}
+
+// NewReserve returns a full reserve of burst dispatches.
+func NewReserve(burst int) *Reserve {
+	return &Reserve{tokens: burst * tokensPerDispatch, limit: burst * tokensPerDispatch}
+}
+
+// Budget returns an empty budget that saves up at most burst dispatches of its
+// own, gives its surplus to the reserve, and falls back on it.
+func (r *Reserve) Budget(perMille, burst int) *Budget {
+	return &Budget{perMille: perMille, limit: burst * tokensPerDispatch, reserve: r}
+}
+
+// Grow raises the burst to the given number of dispatches.
+func (r *Reserve) Grow(burst int) {
+	if more := burst*tokensPerDispatch - r.limit; more > 0 {
+		r.limit += more
+		r.tokens += more
+	}
+}
+
+func (r *Reserve) add(tokens int) {
+	if r != nil {
+		r.tokens = min(r.tokens+tokens, r.limit)
+	}
+}
+
+func (r *Reserve) take() bool {
+	if r == nil || r.tokens < tokensPerDispatch {
+		return false
+	}
+	r.tokens -= tokensPerDispatch
+	return true
+}
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if s.exhausted() {
-		q.snapshotLost(now, s)
+		q.snapshotLost(now, i)
 		return
 	}
 	q.scheduleRetry(now, i)
@@ -131,11 +131,18 @@
 	}
 }
 
-// neverSent reports whether an attempt that was refused with the code reached no
-// endpoint. Its retry adds no load there and takes nothing from the budget. The
-// replica counts as tried, so that such retries are bounded by the backoff once
-// every replica was.
-func neverSent(code result.Code) bool { return code == result.ConnectFailed }
+// freeRetry reports whether the retry after an attempt that ended with the code
+// takes nothing from the budget, since the attempt cost no endpoint any work. The
+// replica counts as tried or gone, so that such retries are bounded by the
+// replicas, and by the backoff once every one was tried.
+func freeRetry(code result.Code) bool {
+	switch code {
+	case result.ConnectFailed, result.SnapshotGone, result.RangeNotHeld:
+		return true
+	default:
+		return false
+	}
+}
 
 // abandon gives up every pending shard.
 func (q *Query) abandon(code result.Code) {
@@ -146,16 +153,34 @@
 	}
 }
 
-// snapshotLost handles a shard whose replicas all lack the snapshot or range.
-func (q *Query) snapshotLost(now time.Duration, s *shard) {
+// snapshotLost handles a shard whose replicas all lack the snapshot or range. The
+// query goes on with the shard's new replicas or restarts on another snapshot,
+// and if it knows of neither it looks again after a backoff: hosts learn of a
+// new index later than its endpoints.
+func (q *Query) snapshotLost(now time.Duration, i int) {
+	s := &q.shards[i]
+	if q.followMove(s) {
+		q.scheduleRetry(now, i)
+		return
+	}
 	if q.restart(now) {
 		return
 	}
-	code := result.MissingSnapshotGone
-	if s.reason == result.RangeNotHeld {
-		code = result.MissingMoved
+	s.waiting = true
+	s.retryAt = now + q.nextBackoff(s)
+}
+
+// followMove takes the replicas that the latest index gives to the shard, and
+// reports whether one of them is not known to lack it.
+func (q *Query) followMove(s *shard) bool {
+	replicas := shardReplicas(q.latestIndex(), q.snapshot.ID, s.keys)
+	for _, id := range replicas {
+		if !slices.Contains(s.gone, id) {
+			s.replicas = replicas
+			return true
+		}
 	}
-	q.giveUp(s, code)
+	return false
 }
 
 // scheduleRetry retries at once if a replica is left that was not tried and the
@@ -194,12 +219,16 @@
 		s.retryAt = now + retryBackoffMin
 		return
 	}
+	if s.exhausted() {
+		q.snapshotLost(now, i)
+		return
+	}
 	endpoint, ok := q.pickRetry(now, s)
 	if !ok {
 		q.noReplica(now, s)
 		return
 	}
-	if !neverSent(s.reason) && !q.p.Budgets.TakeRetry() {
+	if !freeRetry(s.reason) && !q.p.Budgets.TakeRetry() {
 		q.event(EventRetryDenied, s.reason)
 		s.retryAt = now + q.nextBackoff(s)
 		return
--- a/internal/query/doc.go
+++ b/internal/query/doc.go
@@ -7,8 +7,10 @@
 // snapshot of which every shard has an eligible replica, else the one with the
 // best coverage. Each attempt carries the snapshot, and a reply from another
 // snapshot is never merged. If a shard's replicas no longer hold the snapshot,
-// the query restarts once, on another snapshot, and all that has arrived is
-// dropped.
+// the query goes on with the replicas that the latest index gives to the shard, or
+// restarts a few times on another snapshot, and all that has arrived is dropped.
+// Endpoints may change before hosts learn of it, so that it looks for a newer index
+// until its time is up.
 //
 // # Attempts
 //
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -5,14 +5,15 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
 )
 
 // chooseSnapshot returns the newest snapshot of which every shard has an
 // eligible replica, else the one whose eligible shards cover the most keys, the
 // newest first. Of the snapshots only the fresh newest ones count, or all if
-// fresh is zero. It never returns the snapshot with ID exclude, and returns nil
-// if no shard of any snapshot has an eligible replica.
-func chooseSnapshot(now time.Duration, x *config.Index, fresh int, r Replicas, exclude uint64) *config.Snapshot {
+// fresh is zero. It never returns a snapshot with an ID in exclude, and returns
+// nil if no shard of any snapshot has an eligible replica.
+func chooseSnapshot(now time.Duration, x *config.Index, fresh int, r Replicas, exclude []uint64) *config.Snapshot {
 	var best *config.Snapshot
 	var bestKeys uint64
 	oldest := 0
@@ -21,7 +22,7 @@
 	}
 	for i := len(x.Snapshots) - 1; i >= oldest; i-- {
 		s := &x.Snapshots[i]
-		if s.ID == exclude {
+		if slices.Contains(exclude, s.ID) {
 			continue
 		}
 		keys, whole := eligibleKeys(now, s, r)
@@ -74,20 +75,56 @@
 	q.finishIfComplete()
 }
 
-// restart moves the query to another snapshot, once, and reports whether it
-// did. Replies and attempts of the old snapshot are dropped.
+// latestIndex returns the newest index that the host knows.
+func (q *Query) latestIndex() *config.Index {
+	if q.p.LatestIndex != nil {
+		if x := q.p.LatestIndex(); x != nil {
+			return x
+		}
+	}
+	return q.p.Index
+}
+
+// shardReplicas returns the replicas of a shard, or nil if the index has no such
+// shard.
+func shardReplicas(x *config.Index, snapshot uint64, keys keyrange.Range) []string {
+	for i := range x.Snapshots {
+		if x.Snapshots[i].ID != snapshot {
+			continue
+		}
+		for j := range x.Snapshots[i].Shards {
+			if sh := &x.Snapshots[i].Shards[j]; sh.Range == keys {
+				return sh.Replicas
+			}
+		}
+	}
+	return nil
+}
+
+// restart moves the query to another snapshot, at most maxRestarts times, and
+// reports whether it did. Replies and attempts of the old snapshot are dropped.
+// A snapshot that was lost is not tried again until the host knows a newer
+// index.
 func (q *Query) restart(now time.Duration) bool {
-	if q.restarted || q.p.Deadline-now < restartReserve {
+	if q.restarts >= maxRestarts || q.p.Deadline-now < restartReserve {
 		return false
 	}
-	next := chooseSnapshot(now, q.p.Index, q.p.Service.FreshSnapshots, q.p.Replicas, q.snapshot.ID)
+	index := q.latestIndex()
+	if index != q.lostFrom {
+		q.lostFrom, q.lost = index, q.lost[:0]
+	}
+	if index == q.index {
+		q.lost = append(q.lost, q.snapshot.ID)
+	}
+	next := chooseSnapshot(now, index, q.p.Service.FreshSnapshots, q.p.Replicas, q.lost)
 	if next == nil {
 		return false
 	}
 	if _, whole := eligibleKeys(now, next, q.p.Replicas); !whole {
 		return false
 	}
-	q.restarted = true
+	q.restarts++
+	q.index = index
 	q.event(EventRestart, 0)
 	q.cancelOpen()
 	q.truncated = false
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -37,7 +37,10 @@
 	ID      string
 	Service *config.Service
 	Index   *config.Index
-	Body    string
+	// LatestIndex returns the newest index that the host knows, to go on with
+	// when endpoints no longer hold what Index says; it may be nil.
+	LatestIndex func() *config.Index
+	Body        string
 	// Limit bounds the hits of the answer; zero means the service's bound.
 	Limit int
 	// Deadline is the monotonic time of the hard deadline.
@@ -111,6 +114,8 @@
 const (
 	retryBackoffMin = 2 * time.Millisecond
 	retryBackoffMax = 100 * time.Millisecond
+	// maxRestarts bounds the restarts of a query on another snapshot.
+	maxRestarts = 3
 	// restartReserve is the least budget that a restart on another snapshot
 	// needs.
 	restartReserve = 5 * time.Millisecond
@@ -134,8 +139,13 @@
 	dispatched  int
 	// mayHaveRun tells that an attempt was not provably refused.
 	mayHaveRun bool
-	restarted  bool
-	suspect    bool
+	restarts   int
+	// index is the one that the snapshot was chosen from. Lost are the snapshots
+	// of the index lostFrom that its endpoints no longer hold.
+	index    *config.Index
+	lostFrom *config.Index
+	lost     []uint64
+	suspect  bool
 	// held tells that a primary attempt was held back.
 	held      bool
 	truncated bool
@@ -158,7 +168,8 @@
 // Start plans the query and dispatches its primary attempts.
 func (q *Query) Start(now time.Duration) Actions {
 	q.started = now
-	q.snapshot = chooseSnapshot(now, q.p.Index, q.p.Service.FreshSnapshots, q.p.Replicas, 0)
+	q.index = q.p.Index
+	q.snapshot = chooseSnapshot(now, q.index, q.p.Service.FreshSnapshots, q.p.Replicas, nil)
 	if q.snapshot == nil {
 		q.finishNotRun(result.NoReplica)
 		return q.take()
--- a/internal/query/shard.go
+++ b/internal/query/shard.go
@@ -80,7 +80,14 @@
 }
 
 // exhausted reports whether every replica lacks the snapshot or range.
-func (s *shard) exhausted() bool { return len(s.gone) >= len(s.replicas) }
+func (s *shard) exhausted() bool {
+	for _, id := range s.replicas {
+		if !slices.Contains(s.gone, id) {
+			return false
+		}
+	}
+	return len(s.gone) > 0
+}
 
 func addOnce(list []string, v string) []string {
 	if slices.Contains(list, v) {
