--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -11,9 +11,9 @@
 // chooseSnapshot returns the newest snapshot of which every shard has an
 // eligible replica, else the one whose eligible shards cover the most keys, the
 // newest first. Of the snapshots only the fresh newest ones count, or all if
-// fresh is zero. It never returns a snapshot with an ID in exclude, and returns
-// nil if no shard of any snapshot has an eligible replica.
-func chooseSnapshot(now time.Duration, x *config.Index, fresh int, r Replicas, exclude []uint64) *config.Snapshot {
+// fresh is zero. It never returns a snapshot that excluded reports, and returns nil
+// if no shard of any snapshot has an eligible replica.
+func chooseSnapshot(now time.Duration, x *config.Index, fresh int, r Replicas, excluded func(*config.Snapshot) bool) *config.Snapshot {
 	var best *config.Snapshot
 	var bestKeys uint64
 	oldest := 0
@@ -22,7 +22,7 @@
 	}
 	for i := len(x.Snapshots) - 1; i >= oldest; i-- {
 		s := &x.Snapshots[i]
-		if slices.Contains(exclude, s.ID) {
+		if excluded(s) {
 			continue
 		}
 		keys, whole := eligibleKeys(now, s, r)
@@ -103,20 +103,15 @@
 
 // restart moves the query to another snapshot, at most maxRestarts times, and
 // reports whether it did. Replies and attempts of the old snapshot are dropped.
-// A snapshot that was lost is not tried again until the host knows a newer
-// index.
+// A snapshot that was lost is not tried again unless its shards moved.
 func (q *Query) restart(now time.Duration) bool {
 	if q.restarts >= maxRestarts || q.p.Deadline-now < restartReserve {
 		return false
 	}
-	index := q.latestIndex()
-	if index != q.lostFrom {
-		q.lostFrom, q.lost = index, q.lost[:0]
+	if !q.isLost(q.snapshot) {
+		q.lost = append(q.lost, q.snapshot)
 	}
-	if index == q.index {
-		q.lost = append(q.lost, q.snapshot.ID)
-	}
-	next := chooseSnapshot(now, index, q.p.Service.FreshSnapshots, q.p.Replicas, q.lost)
+	next := chooseSnapshot(now, q.latestIndex(), q.p.Service.FreshSnapshots, q.p.Replicas, q.isLost)
 	if next == nil {
 		return false
 	}
@@ -124,7 +119,6 @@
 		return false
 	}
 	q.restarts++
-	q.index = index
 	q.event(EventRestart, 0)
 	q.cancelOpen()
 	q.truncated = false
@@ -132,3 +126,15 @@
 	q.plan(now)
 	return true
 }
+
+// isLost reports whether the snapshot, with the same shards on the same replicas,
+// was lost before.
+func (q *Query) isLost(s *config.Snapshot) bool {
+	return slices.ContainsFunc(q.lost, func(l *config.Snapshot) bool {
+		return l == s || (l.ID == s.ID && slices.EqualFunc(l.Shards, s.Shards, equalShards))
+	})
+}
+
+func equalShards(a, b config.Shard) bool {
+	return a.Range == b.Range && slices.Equal(a.Replicas, b.Replicas)
+}
--- a/internal/query/plan_test.go
+++ b/internal/query/plan_test.go
@@ -46,7 +46,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			got := chooseSnapshot(0, index, c.fresh, c.up, []uint64{c.exclude})
+			got := chooseSnapshot(0, index, c.fresh, c.up, func(s *config.Snapshot) bool { return s.ID == c.exclude })
 			if c.want == 0 {
 				g.Expect(got).To(BeNil())
 				return
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -140,12 +140,9 @@
 	// mayHaveRun tells that an attempt was not provably refused.
 	mayHaveRun bool
 	restarts   int
-	// index is the one that the snapshot was chosen from. Lost are the snapshots
-	// of the index lostFrom that its endpoints no longer hold.
-	index    *config.Index
-	lostFrom *config.Index
-	lost     []uint64
-	suspect  bool
+	// lost are the snapshots that the endpoints no longer hold.
+	lost    []*config.Snapshot
+	suspect bool
 	// held tells that a primary attempt was held back.
 	held      bool
 	truncated bool
@@ -168,8 +165,7 @@
 // Start plans the query and dispatches its primary attempts.
 func (q *Query) Start(now time.Duration) Actions {
 	q.started = now
-	q.index = q.p.Index
-	q.snapshot = chooseSnapshot(now, q.index, q.p.Service.FreshSnapshots, q.p.Replicas, nil)
+	q.snapshot = chooseSnapshot(now, q.p.Index, q.p.Service.FreshSnapshots, q.p.Replicas, q.isLost)
 	if q.snapshot == nil {
 		q.finishNotRun(result.NoReplica)
 		return q.take()
