Issue as many permits at once as the API says

Cause: the API takes up to 1000 permits in a request and says so; the ledger refused more than 100. Conclusion: the tests of permit and coordinator pass; the new one fails with the old bound.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -373,6 +373,12 @@
 		}
 		Expect(retried).To(BeNumerically(">", 2*burst))
 	})
+	It("mints as many permits at once as the API allows", func() {
+		d := newDesk()
+		d.setView(nil)
+		Expect(d.m.Mint(d.now, api.PermitRequest{Service: "orders", Count: api.MaxPermits}).Permits).To(HaveLen(api.MaxPermits))
+		Expect(d.m.Mint(d.now, api.PermitRequest{Service: "orders"}).Code).To(Equal(result.LedgerFull))
+	})
 	It("refuses to mint what it cannot serve", func() {
 		d := newDesk()
 		Expect(d.m.Mint(d.now, api.PermitRequest{Service: "orders"}).Code).To(Equal(result.NotReady))
--- a/internal/permit/ledger.go
+++ b/internal/permit/ledger.go
@@ -38,7 +38,7 @@
 )
 
 // MaxBatch bounds the permits that are issued at once.
-const MaxBatch = 100
+const MaxBatch = 1000
 
 const (
 	defaultMaxPermits      = 1 << 16
