Ask more hosts about a gone issuer than hold its ledger

Cause: hosts that join with new addresses can rank before both holders of a ledger; the stop test saw 401 for a permit after two such joins.

Change: a ledger goes to two successors and four hosts are asked, in rank order, until one knows the permit.

--- a/internal/coordinator/permits.go
+++ b/internal/coordinator/permits.go
@@ -61,7 +61,7 @@
 	return peerwire.HandoverAnswer{Kept: m.ledger.Receive(now, h)}
 }
 
-// successors returns the hosts that a stopping issuer hands its ledger to.
+// successors returns the hosts that may hold the ledger of a stopped issuer.
 func (m *Machine) successors(id permit.ID) []string {
 	addresses := make([]string, 0, len(m.view.Hosts)+1)
 	for i := range m.view.Hosts {
@@ -69,5 +69,5 @@
 			addresses = append(addresses, a)
 		}
 	}
-	return permit.Successors(id.Issuer, append(addresses, m.cfg.Self.Address))
+	return permit.Successors(id.Issuer, append(addresses, m.cfg.Self.Address), permit.SuccessorsAsked)
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -81,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	for _, h := range handovers {
-		for _, to := range permit.Successors(h.Issuer, addresses) {
+		for _, to := range permit.Successors(h.Issuer, addresses, permit.SuccessorCount) {
 			if err := d.handOverTo(ctx, to, h); err != nil {
 				d.log.Warn().Err(err).Str("to", to).Msg("permits not handed over")
 			}
--- a/internal/permit/handover.go
+++ b/internal/permit/handover.go
@@ -122,20 +122,26 @@
 	return batches
 }
 
-// SuccessorCount is the number of hosts that get a ledger. With two, one of them
-// may be replaced, and may hand on what it holds, before the other is.
-const SuccessorCount = 2
-
-// Successors returns the addresses, out of hosts, to which a stopping issuer
-// hands its ledger and which others ask in this order when the issuer is gone.
-// Hosts with different views may disagree about them; the submit is then
-// answered as unknown.
-func Successors(issuer view.Incarnation, hosts []string) []string {
+const (
+	// SuccessorCount is the number of hosts that get a ledger. With two, one of
+	// them may be replaced, and may hand on what it holds, before the other is.
+	SuccessorCount = 2
+	// SuccessorsAsked is the number of hosts that are asked about a gone issuer.
+	// It is larger, since hosts that joined later may rank before those that
+	// hold the ledger.
+	SuccessorsAsked = 4
+)
+
+// Successors returns at most n addresses out of hosts, the best first. A stopping
+// issuer hands its ledger to the first SuccessorCount, and when it is gone others
+// ask the first SuccessorsAsked. Hosts with different views may disagree about
+// them; the submit is then answered as unknown.
+func Successors(issuer view.Incarnation, hosts []string, n int) []string {
 	candidates := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return h == issuer.Address })
 	slices.Sort(candidates)
 	key := ID{Issuer: issuer}.String()
 	var chosen []string
-	for len(candidates) > 0 && len(chosen) < SuccessorCount {
+	for len(candidates) > 0 && len(chosen) < n {
 		next := rendezvous.New(candidates, xxhash.Sum64String).Lookup(key)
 		chosen = append(chosen, next)
 		candidates = slices.DeleteFunc(candidates, func(h string) bool { return h == next })
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -162,10 +162,11 @@
 
 	ginkgo.It("names two successors whatever the order of the hosts, and never the issuer", func() {
 		hosts := []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
-		first := Successors(issuer, hosts)
+		first := Successors(issuer, hosts, 2)
 		Expect(first).To(ConsistOf(hosts[1:]))
-		Expect(Successors(issuer, []string{hosts[2], hosts[1], hosts[0]})).To(Equal(first))
-		Expect(Successors(issuer, hosts[:1])).To(BeEmpty())
+		Expect(Successors(issuer, []string{hosts[2], hosts[1], hosts[0]}, 2)).To(Equal(first))
+		Expect(Successors(issuer, hosts, 1)).To(Equal(first[:1]))
+		Expect(Successors(issuer, hosts[:1], 2)).To(BeEmpty())
 	})
 })
 
