Prove leaving endpoints and configuration with daemons

Seen to fail: leaving endpoints with the view's set empty (work from a host that heard of it from another), and with this host's own signs expired at once (the pairs of faults); configuration with the manifest of peers dropped (not in force in 15 s).

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -60,6 +60,7 @@
 		Platform:      []string{"http://" + c.Platform.Address()},
 		BalancerLagMS: int(balancerLag.Milliseconds()),
 		StartWaitMS:   2000,
+		Peers:         c.peers(),
 	}, zerolog.New(GinkgoWriter).With().Str("host", peerAddress).Logger())
 	Expect(err).NotTo(HaveOccurred())
 	c.hosts = append(c.hosts, h)
@@ -67,6 +68,15 @@
 	return h
 }
 
+// peers returns the peer addresses of the hosts that were started.
+func (c *cluster) peers() []string {
+	var out []string
+	for _, h := range c.hosts {
+		out = append(out, h.PeerAddress())
+	}
+	return out
+}
+
 // stop ends a host gracefully; it is in the list until it has ended.
 func (c *cluster) stop(h *daemon.Daemon) {
 	GinkgoHelper()
