--- /dev/null
+++ b/internal/daemon/fault_test.go
@@ -0,0 +1,128 @@
+package daemon_test
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+)
+
+// namedFault is a fault of an endpoint.
+type namedFault struct {
+	name   string
+	faults standin.Faults
+}
+
+var endpointFaults = []namedFault{
+	{"straggler", standin.Faults{SlowFactor: 200}},
+	{"shedding", standin.Faults{ShedPerMille: 500}},
+	{"cold", standin.Faults{Cold: true}},
+	{"lost", standin.Faults{Lost: true}},
+	{"silent", standin.Faults{SilentPerMille: 300}},
+	{"duplicate replies", standin.Faults{DuplicatePerMille: 1000}},
+	{"late replies", standin.Faults{LatePerMille: 300}},
+	{"misleading load", standin.Faults{MisleadingLoad: true}},
+	{"failing", standin.Faults{FailPerMille: 500}},
+	{"snapshot gone", standin.Faults{SnapshotGone: true}},
+	{"another snapshot", standin.Faults{OtherSnapshotPerMille: 500}},
+	{"moved", standin.Faults{Moved: []keyrange.Range{{Start: 0, End: keyrange.End / 16}}}},
+}
+
+// askAtOnce asks through all hosts at once and returns what is untrue of the
+// answers, and how many were complete.
+func (c *cluster) askAtOnce(each int) (faults []string, complete int) {
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for i := range each * len(c.hosts) {
+		asking.Go(func() {
+			text := fmt.Sprintf("gel %d", i)
+			a, err := tryPost[api.QueryAnswer](c.hosts[i%len(c.hosts)], api.PathQuery, api.QueryRequest{
+				Service: "search", Caller: standin.DefaultCaller, Query: text,
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if fault := untrue("search", text, &a); err != nil || fault != "" {
+				faults = append(faults, fmt.Sprintf("%v %s", err, fault))
+			}
+			if a.Code == result.Complete {
+				complete++
+			}
+		})
+	}
+	asking.Wait()
+	return faults, complete
+}
+
+func faultShape() standin.ServiceShape {
+	return standin.ServiceShape{
+		Name: "search", Shards: 4, Replicas: 2, ServiceTime: time.Millisecond,
+		DeadlineMS: 300, LatencyTargetMS: 100, Preference: config.PreferCoverage,
+	}
+}
+
+var _ = Describe("an answer", func() {
+	It("is true under each fault of a replica and each pair of faults of both replicas", func() {
+		c := newCluster(3, faultShape())
+		for i, first := range endpointFaults {
+			for _, second := range append([]namedFault{{name: "none"}}, endpointFaults[i:]...) {
+				replicas := c.Replicas("search", 0)
+				replicas[0].SetFaults(first.faults)
+				replicas[1].SetFaults(second.faults)
+				faults, _ := c.askAtOnce(4)
+				Expect(faults).To(BeEmpty(), "%s with %s", first.name, second.name)
+				for _, e := range replicas {
+					e.SetFaults(standin.Faults{})
+				}
+			}
+		}
+		Eventually(func() int { _, n := c.askAtOnce(2); return n }, patience).Should(Equal(6))
+	})
+
+	It("is from one snapshot while snapshots come and go and shards move", func() {
+		c := newCluster(3, faultShape())
+		done := make(chan struct{})
+		var asking sync.WaitGroup
+		var untrueAnswers []string
+		total := 0
+		asking.Go(func() {
+			for !waited(done, time.Millisecond) {
+				faults, complete := c.askAtOnce(2)
+				untrueAnswers = append(untrueAnswers, faults...)
+				total += complete
+			}
+		})
+		for i := range 8 {
+			if i%2 == 0 {
+				_, err := c.PublishSnapshot("search", 1+i%4/2)
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				other := c.Shards("search")[i%3+1].Replicas
+				Expect(c.MoveShard("search", 0, other, i%4 == 1)).To(Succeed())
+			}
+			c.Replicas("search", 3)[i%2].SetFaults(standin.Faults{SnapshotGone: i%3 == 0})
+			time.Sleep(300 * time.Millisecond)
+		}
+		close(done)
+		asking.Wait()
+		Expect(untrueAnswers).To(BeEmpty())
+		Expect(total).To(BeNumerically(">", 50))
+		c.Replicas("search", 3)[0].SetFaults(standin.Faults{})
+		c.Replicas("search", 3)[1].SetFaults(standin.Faults{})
+		Expect(c.Publish()).To(Succeed())
+		newest := c.Snapshot("search")
+		for _, h := range c.hosts {
+			Eventually(func() string {
+				a := ask(h, "search", "gel")
+				return fmt.Sprintf("%d of %d", a.Code, a.Snapshot)
+			}, patience).Should(Equal(fmt.Sprintf("100 of %d", newest)))
+		}
+	})
+})
