--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -37,7 +37,10 @@
 	ID      string
 	Service *config.Service
 	Index   *config.Index
-	Body    string
+	// LatestIndex returns the newest index that the host knows, to go on with
+	// when endpoints no longer hold what Index says; it may be nil.
+	LatestIndex func() *config.Index
+	Body        string
 	// Limit bounds the hits of the answer; zero means the service's bound.
 	Limit int
 	// Deadline is the monotonic time of the hard deadline.
@@ -111,6 +114,8 @@
 const (
 	retryBackoffMin = 2 * time.Millisecond
 	retryBackoffMax = 100 * time.Millisecond
+	// maxRestarts bounds the restarts of a query on another snapshot.
+	maxRestarts = 3
 	// restartReserve is the least budget that a restart on another snapshot
 	// needs.
 	restartReserve = 5 * time.Millisecond
@@ -130,11 +135,17 @@
 	byAttempt   map[uint32]int
 	nextAttempt uint32
 	pending     int
+	covered     int
 	dispatched  int
 	// mayHaveRun tells that an attempt was not provably refused.
 	mayHaveRun bool
-	restarted  bool
-	suspect    bool
+	restarts   int
+	// index is the one that the snapshot was chosen from. Lost are the snapshots
+	// of the index lostFrom that its endpoints no longer hold.
+	index    *config.Index
+	lostFrom *config.Index
+	lost     []uint64
+	suspect  bool
 	// held tells that a primary attempt was held back.
 	held      bool
 	truncated bool
@@ -157,7 +168,8 @@
 // Start plans the query and dispatches its primary attempts.
 func (q *Query) Start(now time.Duration) Actions {
 	q.started = now
-	q.snapshot = chooseSnapshot(now, q.p.Index, q.p.Service.FreshSnapshots, q.p.Replicas, 0)
+	q.index = q.p.Index
+	q.snapshot = chooseSnapshot(now, q.index, q.p.Service.FreshSnapshots, q.p.Replicas, nil)
 	if q.snapshot == nil {
 		q.finishNotRun(result.NoReplica)
 		return q.take()
@@ -209,7 +221,7 @@
 		q.expire()
 		return q.take()
 	}
-	for i := range q.shards {
+	for i := 0; i < len(q.shards); i++ { // a restart changes the shards
 		q.tickShard(now, i)
 	}
 	q.resume(now)
@@ -239,22 +251,12 @@
 
 // target returns when the query is answered with what has arrived.
 func (q *Query) target() time.Duration {
-	if q.p.Service.Preference != config.PreferLatency || q.covered() == 0 {
+	if q.p.Service.Preference != config.PreferLatency || q.covered == 0 {
 		return q.p.Deadline
 	}
 	return q.started + q.p.Service.LatencyTarget()
 }
 
-func (q *Query) covered() int {
-	n := 0
-	for i := range q.shards {
-		if q.shards[i].state == shardCovered {
-			n++
-		}
-	}
-	return n
-}
-
 // valid reports whether a good reply is from the pinned snapshot and from
 // inside the shard's range.
 func (q *Query) valid(s *shard, r *dispatch.Reply) bool {
@@ -274,6 +276,7 @@
 	s.hits = r.Hits
 	q.truncated = q.truncated || r.Truncated
 	q.pending--
+	q.covered++
 	q.cancelAttempts(s)
 	if q.suspect && a.alone {
 		q.suspect = false
