--- a/internal/capacity/slopes_memory_test.go
+++ b/internal/capacity/slopes_memory_test.go
@@ -43,6 +43,9 @@
 		before := memoryInUse()
 		kept := fill(n)
 		grown := memoryInUse() - before
+		if c, ok := kept.(interface{ Close() }); ok {
+			c.Close()
+		}
 		runtime.KeepAlive(kept)
 		b.ReportMetric(float64(grown)/float64(n), "B/entry")
 	}
@@ -148,7 +151,6 @@
 	ends := startStandIns(b, "direct")
 	return func(n int) any {
 		c := endpointhttp.New(endpointhttp.Options{ProbeInterval: time.Hour})
-		b.Cleanup(c.Close)
 		c.SetTarget(endpointhttp.Target{Endpoint: "e", Address: ends.platform, Warm: n, Max: n})
 		for c.Connections("e") < n {
 			time.Sleep(time.Millisecond)
