--- a/internal/coordinator/submits.go
+++ b/internal/coordinator/submits.go
@@ -193,7 +193,7 @@
 	if i < 0 {
 		return keyrange.Range{}, "", result.InvalidValue
 	}
-	if !quarantine.MayRun(s.suspicion, m.eligible(now, shards[i].Replicas)) {
+	if s.suspicion != view.Innocent && !quarantine.MayRun(s.suspicion, m.eligible(now, shards[i].Replicas)) {
 		return keyrange.Range{}, "", result.Quarantined
 	}
 	endpoint, ok := (replicas{m}).Pick(now, shards[i].Replicas, s.tried)
@@ -233,6 +233,10 @@
 		m.finishSubmit(s, outcomeOf(&r))
 		return
 	}
+	if r.Code == result.Quarantined {
+		m.burn(now, s, result.Quarantined)
+		return
+	}
 	if !query.RelayFault(r.Code) {
 		s.tried = append(s.tried, r.Endpoint)
 	}
