Tell endpoints in the order of the relay's steps

Cause: the relay loop carried out its actions after it let go of the machine, on the goroutine of each event. Two steps could overtake each other: an older connection limit, or a removal, could replace a newer one for good, after which every attempt was refused with 337, and a cancellation could come before its attempt and be lost.

Change: limits, sends and cancellations are passed on before the machine is let go; none of them blocks or calls back. Replies and observations still go out afterwards. A step with one reply groups it without a map.

The race itself was found by reading, not seen in a run.

--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -30,7 +30,7 @@
 		machine:  relay.New(relay.Config{Fingerprint: quarantine.Fingerprint}, newRand()),
 		counters: counters,
 	}
-	l.loop = newLoop(c, l.nextTick, l.machine.Tick, l.carryOutActions)
+	l.loop = newLoop(c, l.nextTick, l.tickMachine, l.carryOutActions)
 	return l
 }
 
@@ -42,6 +42,30 @@
 	return min(next, now+relayTick)
 }
 
+// step feeds one event to the machine. What the endpoints are told keeps the
+// order of the steps: otherwise an older limit could replace a newer one, and a
+// cancellation could overtake its attempt. None of it blocks or calls back.
+func (l *relayLoop) step(event func(now time.Duration) relay.Actions) {
+	l.loop.step(func(now time.Duration) relay.Actions { return l.tellEndpoints(event(now)) })
+}
+
+func (l *relayLoop) tickMachine(now time.Duration) relay.Actions {
+	return l.tellEndpoints(l.machine.Tick(now))
+}
+
+func (l *relayLoop) tellEndpoints(a relay.Actions) relay.Actions {
+	for _, t := range a.Connections {
+		l.setTarget(t)
+	}
+	for _, r := range a.Send {
+		l.endpoints.Send(r, l.complete)
+	}
+	for _, c := range a.Abort {
+		l.endpoints.Cancel(c)
+	}
+	return a
+}
+
 func (l *relayLoop) setView(v *view.View) {
 	l.step(func(now time.Duration) relay.Actions { return l.machine.SetView(now, v) })
 }
@@ -70,16 +94,8 @@
 	return idle
 }
 
+// carryOutActions carries out what other hosts and the coordinator are told.
 func (l *relayLoop) carryOutActions(a relay.Actions) {
-	for _, t := range a.Connections {
-		l.setTarget(t)
-	}
-	for _, r := range a.Send {
-		l.endpoints.Send(r, l.complete)
-	}
-	for _, c := range a.Abort {
-		l.endpoints.Cancel(c)
-	}
 	for _, b := range groupReplies(a.Replies) {
 		l.count(b.replies)
 		l.deliver(b.origin, b.replies)
@@ -120,6 +136,11 @@
 
 // group collects items by key, in the order of their first appearance.
 func group[T, B any](items []T, key func(T) string, start func(string) B, add func(*B, T)) []B {
+	if len(items) == 1 {
+		only := start(key(items[0]))
+		add(&only, items[0])
+		return []B{only}
+	}
 	var out []B
 	position := make(map[string]int)
 	for _, item := range items {
