Find connections that went silent long before the deadline

A search 32 times over the typical exchange (at least 100 ms) is cut if the endpoint answers elsewhere; if nothing tells, the endpoint is probed, and the longest search gives way to the probe when every connection is in use. Once connections to several endpoints were found silent, each of the host's is probed before it carries a request again. The retry after a silent connection takes nothing from the budget: the connection is at fault and not the endpoint's load.

--- a/internal/endpointhttp/cancel.go
+++ b/internal/endpointhttp/cancel.go
@@ -34,12 +34,12 @@
 	p.dialNeededLocked()
 }
 
-// popCancelLocked returns the next cancellation that is still of use.
+// popCancelLocked returns the next cancellation or probe that is still of use.
 func (p *pool) popCancelLocked() *job {
 	for len(p.cancels) > 0 {
 		j := p.cancels[0]
 		p.cancels = slices.Delete(p.cancels, 0, 1)
-		if p.jobs[j.req.Key] != nil && !j.expired() {
+		if (j.kind == jobProbe || p.jobs[j.req.Key] != nil) && !j.expired() {
 			return j
 		}
 	}
--- a/internal/endpointhttp/client.go
+++ b/internal/endpointhttp/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
@@ -18,6 +19,7 @@
 	DefaultProbeInterval = 2 * time.Second
 	DefaultProbeTimeout  = 500 * time.Millisecond
 	DefaultFreshness     = 20 * time.Millisecond
+	DefaultSilenceFloor  = 100 * time.Millisecond
 	DefaultCancelGrace   = 250 * time.Millisecond
 )
 
@@ -43,6 +45,9 @@
 	ProbeTimeout  time.Duration
 	// Freshness is how recent a reply must be to prove a connection alive.
 	Freshness time.Duration
+	// SilenceFloor is the least time without a reply after which a search is taken
+	// to be lost with its connection.
+	SilenceFloor time.Duration
 	// CancelGrace is how long a cancelled request may still take to reply.
 	CancelGrace time.Duration
 	// OnStatus receives the replies to probes; it may be nil.
@@ -71,6 +76,10 @@
 	ctx  context.Context
 	stop context.CancelFunc
 	wg   sync.WaitGroup
+	// silentPool is the pool in which a silent connection was found last.
+	// lastSilent is when they were found in several, as Unix time in nanoseconds.
+	silentPool atomic.Pointer[pool]
+	lastSilent atomic.Int64
 
 	mu     sync.RWMutex
 	closed bool
@@ -85,6 +94,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c := &Client{opts: opts, ctx: ctx, stop: stop, pools: make(map[string]*pool)}
 	c.wg.Go(c.probeLoop)
+	c.wg.Go(c.watchLoop)
 	return c
 }
 
@@ -93,6 +103,7 @@
 	setDefault(&o.ProbeInterval, DefaultProbeInterval)
 	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
 	setDefault(&o.Freshness, DefaultFreshness)
+	setDefault(&o.SilenceFloor, DefaultSilenceFloor)
 	setDefault(&o.CancelGrace, DefaultCancelGrace)
 	if o.OnStatus == nil {
 		o.OnStatus = func(string, endpointapi.Status) {}
@@ -254,13 +265,17 @@
 }
 
 func (c *Client) maintain() {
+	for _, p := range c.currentPools() {
+		p.maintain(time.Now())
+	}
+}
+
+func (c *Client) currentPools() []*pool {
 	c.mu.RLock()
+	defer c.mu.RUnlock()
 	pools := make([]*pool, 0, len(c.pools))
 	for _, p := range c.pools {
 		pools = append(pools, p)
 	}
-	c.mu.RUnlock()
-	for _, p := range pools {
-		p.maintain(time.Now())
-	}
+	return pools
 }
--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
@@ -28,6 +29,9 @@
 	// to a connection that it took from the idle list.
 	orders chan order
 	opened time.Time
+	// busySince is the Unix time in nanoseconds at which the search in flight was
+	// written, or zero.
+	busySince atomic.Int64
 	// lastAlive is when the last reply came.
 	lastAlive time.Time
 
@@ -129,11 +133,12 @@
 // prove probes the connection if the job needs one that is alive. It returns why
 // the connection must be closed, or nothing.
 func (c *conn) prove(j *job) CloseReason {
-	if !j.req.Fresh {
+	now := time.Now()
+	if j.kind != jobAttempt || !j.req.Fresh && !c.suspect(now) {
 		return ""
 	}
 	opts := &c.pool.client.opts
-	recent := time.Now().Add(-opts.Freshness)
+	recent := now.Add(-opts.Freshness)
 	for c.lastAlive.Before(recent) && !j.expired() {
 		timeout := min(opts.ProbeTimeout, time.Until(j.deadline)/freshProbeShare)
 		if out := c.carry(newProbeJob(timeout)); out.close != "" {
@@ -148,6 +153,8 @@
 func (c *conn) exchange(j *job) verdict {
 	c.sock.begin()
 	began := time.Now()
+	c.busyNow(j, began)
+	defer c.busySince.Store(0)
 	if _, err := c.sock.Write(c.request); err != nil {
 		return c.writeFailed(j, err)
 	}
@@ -156,6 +163,6 @@
 		return c.readFailed(j, began)
 	}
 	c.lastAlive = time.Now()
-	c.pool.lastAlive.Store(c.lastAlive.UnixNano())
+	c.answered(j, began, c.lastAlive)
 	return c.interpret(j, response)
 }
--- a/internal/endpointhttp/outcome.go
+++ b/internal/endpointhttp/outcome.go
@@ -63,6 +63,7 @@
 	}
 	if othersAnswer || j.kind == jobProbe {
 		out.close = CloseSilent
+		c.pool.foundSilent(time.Now())
 	}
 	if j.wasCancelled() {
 		out.reply.Code = result.Cancelled
--- a/internal/endpointhttp/pool.go
+++ b/internal/endpointhttp/pool.go
@@ -27,6 +27,10 @@
 	// lastAlive is the Unix time in nanoseconds of the last reply on any
 	// connection.
 	lastAlive atomic.Int64
+	// lastSilent is when a connection was last found silent, likewise.
+	lastSilent atomic.Int64
+	// typical is a moving average of the time of an exchange, in nanoseconds.
+	typical atomic.Int64
 
 	mu   sync.Mutex
 	warm int
@@ -43,6 +47,9 @@
 	cancels []*job
 	jobs    map[dispatch.Key]*job
 	removed bool
+	// proveAfter is when the endpoint may be probed again to find out whether a
+	// connection is silent.
+	proveAfter time.Time
 }
 
 func newPool(c *Client, t Target) *pool {
--- /dev/null
+++ b/internal/endpointhttp/silence.go
@@ -0,0 +1,151 @@
+package endpointhttp
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+)
+
+// Detection of connections that went silent with a search on them. A search that
+// takes silenceFactor times the typical exchange, and at least the floor, while
+// the endpoint answers on other connections, is taken to be lost with its
+// connection, and is retried. A submit keeps its connection until its deadline,
+// since cutting it would only make its outcome unknown sooner.
+const (
+	silenceFactor = 32
+	// silenceCheck is how often busy connections are looked at.
+	silenceCheck = 50 * time.Millisecond
+	// typicalWeight is the weight of an exchange in the moving average, as a
+	// divisor.
+	typicalWeight = 8
+	// suspicion is how long after a silent connection was found the others of the
+	// endpoint are probed before they carry a request.
+	suspicion = 5 * time.Second
+)
+
+// busyNow marks the connection as carrying a search since began.
+func (c *conn) busyNow(j *job, began time.Time) {
+	if j.kind == jobAttempt && j.req.Operation == dispatch.Search {
+		c.busySince.Store(began.UnixNano())
+	}
+}
+
+// answered learns from an exchange.
+func (c *conn) answered(j *job, began, now time.Time) {
+	c.pool.lastAlive.Store(now.UnixNano())
+	if j.kind != jobAttempt {
+		return
+	}
+	old := c.pool.typical.Load()
+	took := int64(now.Sub(began))
+	if old == 0 {
+		c.pool.typical.Store(took)
+		return
+	}
+	c.pool.typical.Store(old + (took-old)/typicalWeight)
+}
+
+// silenceLimit is how long a search may be without a reply.
+func (p *pool) silenceLimit() time.Duration {
+	return max(p.client.opts.SilenceFloor, silenceFactor*time.Duration(p.typical.Load()))
+}
+
+// suspect reports whether the connection may have gone silent together with one
+// that was found silent after this one's last reply: one of the same endpoint,
+// or those of several endpoints.
+func (c *conn) suspect(now time.Time) bool {
+	silent := max(c.pool.lastSilent.Load(), c.pool.client.lastSilent.Load())
+	return silent > c.lastAlive.UnixNano() && now.UnixNano()-silent < int64(suspicion)
+}
+
+// foundSilent notes that a connection went silent. What made those of several
+// endpoints silent may have hit any connection of the host.
+func (p *pool) foundSilent(now time.Time) {
+	p.lastSilent.Store(now.UnixNano())
+	previous := p.client.silentPool.Swap(p)
+	if previous != nil && previous != p && now.UnixNano()-previous.lastSilent.Load() < int64(suspicion) {
+		p.client.lastSilent.Store(now.UnixNano())
+	}
+}
+
+// watchSilence cuts searches on connections that went silent. If nothing tells
+// whether the endpoint answers, it probes the endpoint on another connection, and
+// cuts the longest search to make room for that if every connection is in use.
+func (p *pool) watchSilence(now time.Time) {
+	limit := p.silenceLimit()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	unproved := p.cutSilentLocked(now, limit)
+	if unproved == nil {
+		return
+	}
+	room := len(p.idle) > 0 || p.open < p.max
+	switch {
+	case room && now.After(p.proveAfter):
+		p.proveAfter = now.Add(p.client.opts.ProbeTimeout)
+		p.proveLocked()
+	case !room && now.Sub(unproved.since()) > 2*limit:
+		unproved.cut()
+	}
+}
+
+// cutSilentLocked cuts every search over the limit since which the endpoint
+// answered elsewhere, and returns the longest search over half of the limit of
+// which that is not known.
+func (p *pool) cutSilentLocked(now time.Time, limit time.Duration) *conn {
+	var unproved *conn
+	for c := range p.all {
+		since := c.since()
+		age := now.Sub(since)
+		if since.IsZero() || age < limit/2 {
+			continue
+		}
+		elsewhere := p.lastAlive.Load() > since.Add(age/2).UnixNano()
+		switch {
+		case elsewhere && age >= limit:
+			p.foundSilent(now)
+			c.cut()
+		case !elsewhere && (unproved == nil || since.Before(unproved.since())):
+			unproved = c
+		}
+	}
+	return unproved
+}
+
+// proveLocked probes the endpoint on an idle or new connection.
+func (p *pool) proveLocked() {
+	probe := newProbeJob(p.client.opts.ProbeTimeout)
+	if last := len(p.idle) - 1; last >= 0 {
+		p.orderLocked(last, order{job: probe})
+		return
+	}
+	p.cancels = append(p.cancels, probe)
+	p.dialNeededLocked()
+}
+
+// since returns when the search in flight was written, or the zero time.
+func (c *conn) since() time.Time {
+	if n := c.busySince.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
+// cut makes the wait for the reply end now.
+func (c *conn) cut() { _ = c.sock.SetReadDeadline(time.Unix(1, 0)) }
+
+// watchLoop looks for silent connections.
+func (c *Client) watchLoop() {
+	ticker := time.NewTicker(silenceCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, p := range c.currentPools() {
+				p.watchSilence(now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpointhttp/silence_test.go
@@ -0,0 +1,75 @@
+package endpointhttp
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// farDeadline is a budget that no test waits for.
+const farDeadline = time.Hour
+
+var _ = ginkgo.Describe("a connection that goes silent", func() {
+	silentOn := func(numbers ...int) *fake {
+		return startFake(func(x *exchange) bool {
+			for _, n := range numbers {
+				if x.number == n {
+					return true
+				}
+			}
+			return x.ok()
+		})
+	}
+
+	ginkgo.It("loses its search long before the deadline if the endpoint answers a probe", func() {
+		f := silentOn(1)
+		c := newTestClient(Options{SilenceFloor: 20 * time.Millisecond}, f.address(), 2)
+		a := newAttempt("q", dispatch.Search, farDeadline).sendTo(c)
+		Expect(knownOf(a)).To(Equal(known{dispatch.Unknown, result.ConnectionSilent}))
+		Expect(f.ran(a.id())).To(Equal(1))
+	})
+
+	ginkgo.It("makes room for a probe if every connection is silent", func() {
+		f := silentOn(1, 2)
+		c := newTestClient(Options{SilenceFloor: 20 * time.Millisecond}, f.address(), 2)
+		first := newAttempt("q", dispatch.Search, farDeadline).sendTo(c)
+		second := newAttempt("r", dispatch.Search, farDeadline).sendTo(c)
+		Expect([]known{knownOf(first), knownOf(second)}).To(ConsistOf(
+			BeElementOf(unknown, known{dispatch.Unknown, result.ConnectionSilent}),
+			BeElementOf(unknown, known{dispatch.Unknown, result.ConnectionSilent}),
+		))
+		Expect(knownOf(send(c, "s"))).To(Equal(succeeded))
+	})
+
+	ginkgo.It("keeps its submit until the deadline", func() {
+		f := silentOn(1)
+		c := newTestClient(Options{SilenceFloor: time.Millisecond, CancelGrace: time.Millisecond}, f.address(), 2)
+		a := newAttempt("permit", dispatch.Submit, farDeadline).sendTo(c)
+		Eventually(func() int { return f.ran(a.id()) }, mustCome, time.Millisecond).Should(Equal(1))
+		for range 5 {
+			c.pool("e").watchSilence(time.Now().Add(farDeadline))
+			Expect(knownOf(send(c, "other"))).To(Equal(succeeded))
+		}
+		Expect(c.Connections("e")).To(Equal(2))
+		a.cancel(c)
+		Expect(knownOf(a)).To(Equal(cancelled))
+	})
+
+	ginkgo.It("puts the host's other connections under suspicion once several endpoints are hit", func() {
+		c := newTestClient(Options{}, silentOn().address(), 1)
+		other := silentOn()
+		c.SetTarget(Target{Endpoint: "f", Address: other.address(), Max: 1})
+		idle := &conn{pool: c.pool("f")}
+		now := time.Now()
+		c.pool("e").foundSilent(now)
+		Expect(idle.suspect(now)).To(BeFalse())
+		c.SetTarget(Target{Endpoint: "g", Address: other.address(), Max: 1})
+		c.pool("g").foundSilent(now)
+		Expect(idle.suspect(now)).To(BeTrue())
+		Expect(idle.suspect(now.Add(suspicion))).To(BeFalse())
+	})
+})
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -132,12 +132,13 @@
 }
 
 // freeRetry reports whether the retry after an attempt that ended with the code
-// takes nothing from the budget, since the attempt cost no endpoint any work. The
-// replica counts as tried or gone, so that such retries are bounded by the
-// replicas, and by the backoff once every one was tried.
+// takes nothing from the budget, since the attempt was no sign of load: it cost
+// the endpoint no work, or its connection is at fault. The replica counts as tried
+// or gone, so that such retries are bounded by the replicas, and by the backoff
+// once every one was tried.
 func freeRetry(code result.Code) bool {
 	switch code {
-	case result.ConnectFailed, result.SnapshotGone, result.RangeNotHeld:
+	case result.ConnectFailed, result.ConnectionSilent, result.SnapshotGone, result.RangeNotHeld:
 		return true
 	default:
 		return false
