Probe idle connections when a reply takes long

Cause: what lost track of one connection has often lost the others too. Idle silent connections were found by the probe every two seconds, and those in frequent use only by an attempt that waited for its deadline.

Change: a reply that takes more than 100 ms makes the pool probe its idle connections that were not proved alive since, at most once a probe timeout. They carry nothing until they answer; attempts use new connections meanwhile. The attempt that waits is left alone, since it may be slow only. The test fails without the change.

--- a/internal/endpointhttp/client.go
+++ b/internal/endpointhttp/client.go
@@ -18,6 +18,7 @@
 	DefaultProbeInterval = 2 * time.Second
 	DefaultProbeTimeout  = 500 * time.Millisecond
 	DefaultFreshness     = 20 * time.Millisecond
+	DefaultSuspicion     = 100 * time.Millisecond
 	DefaultCancelGrace   = 250 * time.Millisecond
 )
 
@@ -43,6 +44,9 @@
 	ProbeTimeout  time.Duration
 	// Freshness is how recent a reply must be to prove a connection alive.
 	Freshness time.Duration
+	// Suspicion is how long a reply may take before the idle connections to the
+	// same endpoint are probed.
+	Suspicion time.Duration
 	// CancelGrace is how long a cancelled request may still take to reply.
 	CancelGrace time.Duration
 	// OnStatus receives the replies to probes; it may be nil.
@@ -93,6 +97,7 @@
 	setDefault(&o.ProbeInterval, DefaultProbeInterval)
 	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
 	setDefault(&o.Freshness, DefaultFreshness)
+	setDefault(&o.Suspicion, DefaultSuspicion)
 	setDefault(&o.CancelGrace, DefaultCancelGrace)
 	if o.OnStatus == nil {
 		o.OnStatus = func(string, endpointapi.Status) {}
--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -151,7 +151,7 @@
 	if _, err := c.sock.Write(c.request); err != nil {
 		return c.writeFailed(j, err)
 	}
-	response, err := c.read(j)
+	response, err := c.readWatched(j, began)
 	if err != nil {
 		return c.readFailed(j, began)
 	}
@@ -159,3 +159,14 @@
 	c.pool.lastAlive.Store(c.lastAlive.UnixNano())
 	return c.interpret(j, response)
 }
+
+// readWatched reads the reply. If it takes long the idle connections of the pool
+// are probed, since what silenced this one may have silenced them.
+func (c *conn) readWatched(j *job, began time.Time) (response, error) {
+	if j.kind != jobAttempt {
+		return c.read(j)
+	}
+	watch := time.AfterFunc(c.pool.client.opts.Suspicion, func() { c.pool.probeSince(began) })
+	defer watch.Stop()
+	return c.read(j)
+}
--- a/internal/endpointhttp/connections_test.go
+++ b/internal/endpointhttp/connections_test.go
@@ -73,6 +73,25 @@
 		Eventually(closed.of(CloseSilent), mustCome).Should(BeNumerically(">=", 1))
 		Eventually(f.accepted, mustCome).Should(BeNumerically(">=", 2))
 	})
+	ginkgo.It("make the idle ones suspect, which are probed at once", func() {
+		e := standin.NewEndpoint(standin.EndpointOptions{ID: "e", Service: "s", Slots: 9})
+		Expect(e.Start()).To(Succeed())
+		ginkgo.DeferCleanup(e.Close)
+		var closed reasons
+		c := newTestClient(Options{
+			ProbeInterval: time.Hour, ProbeTimeout: 50 * time.Millisecond, Suspicion: time.Millisecond, OnClose: closed.add,
+		}, e.Address(), 3)
+		c.SetTarget(Target{Endpoint: "e", Address: e.Address(), Warm: 3, Max: 3})
+		Eventually(func() int { return idleOf(c) }, mustCome, time.Millisecond).Should(Equal(3))
+		c.pool("e").maintain(time.Now().Add(2 * time.Hour)) // the endpoint has accepted all
+		Eventually(func() int { return idleOf(c) }, mustCome, time.Millisecond).Should(Equal(3))
+		e.Silence()
+		lost := newAttempt("lost", dispatch.Submit, time.Hour).sendTo(c)
+		Eventually(closed.of(CloseSilent), mustCome).Should(Equal(2))
+		Eventually(func() int { return idleOf(c) }, mustCome, time.Millisecond).Should(Equal(2))
+		Expect(knownOf(newAttempt("next", dispatch.Submit, mustCome).sendTo(c))).To(Equal(succeeded))
+		Expect(lost.count()).To(BeZero())
+	})
 	ginkgo.It("do not take a request that needs a fresh one", func() {
 		e := standin.NewEndpoint(standin.EndpointOptions{ID: "e", Service: "s", Slots: 9})
 		Expect(e.Start()).To(Succeed())
--- a/internal/endpointhttp/limits.go
+++ b/internal/endpointhttp/limits.go
@@ -81,3 +81,21 @@
 		j.refuse(result.Stopping)
 	}
 }
+
+// probeSince probes the idle connections that were not proved alive since a
+// time. Until they answer they carry nothing, and attempts use new connections.
+func (p *pool) probeSince(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	timeout := p.client.opts.ProbeTimeout
+	now := time.Now()
+	if p.removed || now.Sub(p.suspectedAt) < timeout {
+		return
+	}
+	p.suspectedAt = now
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].lastAlive.Before(since) {
+			p.orderLocked(i, order{job: newProbeJob(timeout)})
+		}
+	}
+}
--- a/internal/endpointhttp/pool.go
+++ b/internal/endpointhttp/pool.go
@@ -43,6 +43,8 @@
 	cancels []*job
 	jobs    map[dispatch.Key]*job
 	removed bool
+	// suspectedAt is when the idle connections were last probed on suspicion.
+	suspectedAt time.Time
 }
 
 func newPool(c *Client, t Target) *pool {
