--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -326,7 +326,9 @@
 	})
 	It("asks the successors about a permit of an earlier incarnation, and never runs it", func() {
 		d := newDesk()
-		d.setView(func(v *view.View) { v.Hosts = []view.Host{{Incarnation: view.Incarnation{Address: deskPeer, Start: 2}}} })
+		d.setView(func(v *view.View) {
+			v.Hosts = []view.Host{{Incarnation: view.Incarnation{Address: deskPeer, Start: 2}}}
+		})
 		s := api.SubmitRequest{Service: "orders", Permit: "1~10.0.0.1:7000~7~1~123~orders", Body: "order"}
 		d.submit(s)
 		Expect(d.forward).To(HaveLen(1))
@@ -371,6 +373,12 @@
 		}
 		Expect(retried).To(BeNumerically(">", 2*burst))
 	})
+	It("mints as many permits at once as the API allows", func() {
+		d := newDesk()
+		d.setView(nil)
+		Expect(d.m.Mint(d.now, api.PermitRequest{Service: "orders", Count: api.MaxPermits}).Permits).To(HaveLen(api.MaxPermits))
+		Expect(d.m.Mint(d.now, api.PermitRequest{Service: "orders"}).Code).To(Equal(result.LedgerFull))
+	})
 	It("refuses to mint what it cannot serve", func() {
 		d := newDesk()
 		Expect(d.m.Mint(d.now, api.PermitRequest{Service: "orders"}).Code).To(Equal(result.NotReady))
