Hedge by the mean latency while the percentile is not known

Cause: a service that is asked rarely has too few replies on each of many hosts for a percentile. Its hedge delay was a quarter of the latency target, longer than most stragglers.

Change: until the percentile is known the delay is at most four times the mean latency; the budget bounds hedges as before.

--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -30,6 +30,10 @@
 // while too few replies were observed.
 const defaultHedgeDivisor = 4
 
+// hedgeMeans multiplies the mean latency of a service whose percentile is not
+// known yet.
+const hedgeMeans = 4
+
 // minHedgeDelay keeps hedges from racing ordinary replies.
 const minHedgeDelay = time.Millisecond
 
@@ -145,11 +149,21 @@
 func (r replicas) HedgeDelay(s *config.Service) time.Duration {
 	delay, ok := r.m.table.Percentile(s.Name, s.Hedge.PercentilePerMille)
 	if !ok {
-		delay = s.LatencyTarget() / defaultHedgeDivisor
+		delay = r.guessedHedgeDelay(s)
 	}
 	return max(delay, minHedgeDelay)
 }
 
+// guessedHedgeDelay is used while a service has too few replies for a percentile,
+// as on each of many hosts of a service that is asked rarely.
+func (r replicas) guessedHedgeDelay(s *config.Service) time.Duration {
+	delay := s.LatencyTarget() / defaultHedgeDivisor
+	if mean, ok := r.m.table.Mean(s.Name); ok {
+		delay = min(delay, hedgeMeans*mean)
+	}
+	return delay
+}
+
 // budgets bounds the extra dispatches of one service on this host.
 type budgets struct {
 	hedge *endpoint.Budget
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -232,3 +232,13 @@
 	}
 	return s.latencies.percentile(perMille)
 }
+
+// Mean returns the moving average of the latencies of a service's replies. It is
+// false without any.
+func (t *Table) Mean(service string) (time.Duration, bool) {
+	s := t.services[service]
+	if s == nil || s.average == 0 {
+		return 0, false
+	}
+	return time.Duration(s.average), true
+}
