Start embedded hosts anew when an address was taken

Cause: the load tool finds free addresses for its hosts and closes them before the hosts listen.

Change: the hosts are started anew on other addresses, a few times at most.

--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,6 +29,7 @@
 	readyInterval = 20 * time.Millisecond
 	stopTimeout   = 10 * time.Second
 	loopbackAny   = "127.0.0.1:0"
+	startAttempts = 5
 	metricsPath   = "/metrics"
 	// metricsTimeout bounds the reading of one host's metrics.
 	metricsTimeout = 2 * time.Second
@@ -63,8 +66,21 @@
 }
 
 // StartHostsAt starts daemons on loopback that read any platform, and waits until
-// all are ready.
+// all are ready. It starts them anew if another process took one of the addresses
+// that it had found free.
 func StartHostsAt(ctx context.Context, o HostOptions) (*Fleet, error) {
+	var fleet *Fleet
+	var err error
+	for range startAttempts {
+		fleet, err = o.start(ctx)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+	}
+	return fleet, err
+}
+
+func (o HostOptions) start(ctx context.Context) (*Fleet, error) {
 	all, err := o.settings()
 	if err != nil {
 		return nil, err
