--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -134,14 +134,7 @@
 	return nil
 }
 
-func changeSnapshots(d *standin.Deployment) error {
-	for _, name := range d.ServiceNames() {
-		if _, err := d.PublishSnapshot(name, 1); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+func changeSnapshots(d *standin.Deployment) error { return d.PublishSnapshots(1) }
 
 // moveShards swaps the replicas of the first and the last shard of each service
 // without telling the hosts.
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -144,12 +144,27 @@
 	if s == nil {
 		return 0, unknownService(service)
 	}
+	s.addSnapshot(keep)
+	return s.newest().ID, d.publish()
+}
+
+// PublishSnapshots does what PublishSnapshot does for every service, in one
+// revision.
+func (d *Deployment) PublishSnapshots(keep int) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.addSnapshot(keep)
+	}
+	return d.publish()
+}
+
+func (s *deployedService) addSnapshot(keep int) {
 	next := s.newest()
 	next.ID++
 	snapshots := append(slices.Clone(s.index.Snapshots), next)
 	s.index.Snapshots = snapshots[max(0, len(snapshots)-max(keep, 1)):]
 	s.assign()
-	return next.ID, d.publish()
 }
 
 // MoveShard moves a shard of the newest snapshot to the endpoints with the given
