--- a/internal/load/faults.go
+++ b/internal/load/faults.go
@@ -44,7 +44,8 @@
 	}},
 	{name: "drain", steps: []step{{0.25, firstReplicas(func(f *standin.Faults) { f.Leaving = true })}}},
 	{name: "silent", steps: []step{{0.25, silenceAll}, {0.6, silenceAll}}},
-	{name: "snapshot-change", steps: []step{{0.25, changeSnapshots}, {0.5, changeSnapshots}, {0.75, changeSnapshots}}},
+	{name: "snapshot-change", steps: []step{{0.25, changeSnapshots(2)}, {0.5, changeSnapshots(2)}, {0.75, changeSnapshots(2)}}},
+	{name: "snapshot-gone", steps: []step{{0.25, changeSnapshots(1)}, {0.5, changeSnapshots(1)}, {0.75, changeSnapshots(1)}}},
 	{name: "crash", crashing: true, steps: []step{{0, everywhere(func(f *standin.Faults) { f.CrashFor = crashFor })}}},
 	{name: "shard-move", steps: []step{{0.25, moveShards}, {0.5, publish}}},
 	{name: "misleading-load", steps: []step{{0, firstReplicas(func(f *standin.Faults) { f.MisleadingLoad, f.SlowFactor = true, 4 })}}},
@@ -134,7 +135,11 @@
 	return nil
 }
 
-func changeSnapshots(d *standin.Deployment) error { return d.PublishSnapshots(1) }
+// changeSnapshots gives every index a newer snapshot; endpoints hold the newest
+// keep.
+func changeSnapshots(keep int) func(*standin.Deployment) error {
+	return func(d *standin.Deployment) error { return d.PublishSnapshots(keep) }
+}
 
 // moveShards swaps the replicas of the first and the last shard of each service
 // without telling the hosts.
