--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -58,15 +58,16 @@
 }
 
 // Forward is a submit to ask the permit's issuer about. The driver answers the
-// ticket itself: with the issuer's answer; if the issuer could not be reached,
-// with that of Successor, or else IssuerUnreachable; and with ForwardUnknown if
-// it was reached and gave no answer.
+// ticket itself: with the issuer's answer; if the issuer could not be reached or
+// was replaced, with that of the first of Successors that knows the permit, or
+// else IssuerUnreachable or IssuerReplaced; and with ForwardUnknown if the issuer
+// was reached and gave no answer. The issuer's address may be this host's.
 type Forward struct {
-	Ticket    Ticket
-	Issuer    view.Incarnation
-	Successor string
-	Request   api.SubmitRequest
-	Budget    time.Duration
+	Ticket     Ticket
+	Issuer     view.Incarnation
+	Successors []string
+	Request    api.SubmitRequest
+	Budget     time.Duration
 }
 
 // PauseGap is the least time between two steps after which the host counts as
@@ -98,6 +99,8 @@
 	view        *view.View
 	table       *endpoint.Table
 	budgets     map[string]*budgets
+	hedges      *endpoint.Reserve
+	retries     *endpoint.Reserve
 	admission   *admission.Queue
 	ledger      *permit.Ledger
 	waiting     map[string]waitingQuery
@@ -139,6 +142,8 @@
 		view:        &view.View{Reason: result.NotReady},
 		table:       endpoint.NewTable(),
 		budgets:     make(map[string]*budgets),
+		hedges:      endpoint.NewReserve(hostHedgeBurst),
+		retries:     endpoint.NewReserve(hostRetryBurst),
 		admission:   admission.New(cfg.Limits),
 		ledger:      permit.New(cfg.Self, cfg.Permits),
 		waiting:     make(map[string]waitingQuery),
@@ -154,10 +159,11 @@
 // SetView replaces the view. Running queries keep the configuration that they
 // began with.
 func (m *Machine) SetView(now time.Duration, v *view.View) Actions {
-	m.begin(now)
+	m.advance(now)
 	m.view = v
 	m.table.SetView(now, v)
 	m.updateBudgets()
+	m.expire(now)
 	m.admit(now, m.admission.SetBundle(now, v.Bundle))
 	return m.take(now)
 }
