Tell of written attempts before the loss of the peer that has them

Cause: each message that was written and each broken connection was passed on by a goroutine of its own. A break could overtake the write, so that PeerLost missed the attempt, which then waited for its deadline: a crash test took 30 s with a deadline of 20 s.

Change: both pass through one queue that keeps their order.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,9 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	view    atomic.Pointer[view.View]
+	// peerEvents keeps the order in which messages to a peer were written and
+	// its connection broke.
+	peerEvents serial
 }
 
 // Start opens the listeners and starts the loops of one host. The caller ends
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -79,7 +79,7 @@
 		Body:   peerwire.Dispatch{Requests: requests},
 		Within: within,
 		Done: func(err error) {
-			go d.carried(to, keys, err)
+			d.peerEvents.run(func() { d.carried(to, keys, err) })
 			d.control.sent(to, err)
 		},
 	})
@@ -101,8 +101,10 @@
 
 // peerBroken handles a broken connection to a peer.
 func (d *Daemon) peerBroken(address string) {
-	go d.coordinator.step(func(now time.Duration) coordinator.Actions {
-		return d.coordinator.machine.PeerLost(now, address)
+	d.peerEvents.run(func() {
+		d.coordinator.step(func(now time.Duration) coordinator.Actions {
+			return d.coordinator.machine.PeerLost(now, address)
+		})
 	})
 }
 
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -102,6 +102,11 @@
 		t.stop()
 		answers := t.answered()
 		Expect(len(answers)).To(BeNumerically(">", 20))
+		// Nobody waited for the deadline of 20 s.
+		Expect(t.faults).NotTo(ContainElement(ContainSubstring("<nil> 200")))
+		for _, a := range answers {
+			Expect(a.answer.Code).NotTo(Equal(result.StillRunning))
+		}
 		t.expectTruth(answers)
 	})
 })
