--- /dev/null
+++ b/cmd/gypsumlugd/main_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/standin"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+)
+
+func TestDaemonProgram(t *testing.T) { testsuite.RunSpecs(t, "gypsumlugd") }
+
+const patience = 30 * time.Second
+
+var program string
+
+var _ = BeforeSuite(func() {
+	program = filepath.Join(GinkgoT().TempDir(), "gypsumlugd")
+	Expect(exec.Command("go", "build", "-o", program, ".").Run()).To(Succeed())
+})
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// host is a daemon in a process of its own.
+type host struct {
+	*gexec.Session
+	callers string
+}
+
+func startProgram(d *standin.Deployment, balancerLagMS int) *host {
+	GinkgoHelper()
+	callers := freeAddress()
+	settings, err := json.Marshal(map[string]any{
+		"peer_address": freeAddress(), "caller_address": callers, "admin_address": freeAddress(),
+		"data_centre": "dc1", "platform": []string{"http://" + d.Platform.Address()},
+		"balancer_lag_ms": balancerLagMS, "start_wait_ms": 500,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(GinkgoT().TempDir(), "settings.json")
+	Expect(os.WriteFile(file, settings, 0o600)).To(Succeed())
+	session, err := gexec.Start(exec.Command(program, "run", "--settings", file), GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { session.Kill().Wait(patience) })
+	h := &host{Session: session, callers: callers}
+	Eventually(h.ready, patience, "20ms").Should(Equal(http.StatusOK))
+	return h
+}
+
+// ready returns the status of the host's readiness, or zero without an answer.
+func (h *host) ready() int {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + h.callers + api.PathReady)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func newDeployment() *standin.Deployment {
+	GinkgoHelper()
+	d, err := standin.NewDeployment(standin.DeploymentOptions{Services: []standin.ServiceShape{{Name: "search"}}, Seed: 1})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	return d
+}
+
+var _ = Describe("the daemon's process", func() {
+	It("ends with status 0 after one signal", func() {
+		h := startProgram(newDeployment(), 100)
+		h.Terminate()
+		Eventually(h, patience).Should(gexec.Exit(0))
+	})
+
+	It("ends at once after a second signal", func() {
+		const lagMS = 50_000
+		h := startProgram(newDeployment(), lagMS)
+		h.Terminate()
+		Eventually(h.ready, patience, "20ms").Should(Equal(http.StatusServiceUnavailable))
+		Consistently(h, "200ms").ShouldNot(gexec.Exit())
+		h.Terminate()
+		Eventually(h, patience).Should(gexec.Exit(exitFault)) // Long before the lag has passed.
+	})
+
+	It("takes no request on old beliefs after a pause, and serves again", func() {
+		h := startProgram(newDeployment(), 100)
+		h.Signal(syscall.SIGSTOP)
+		time.Sleep(4 * time.Second)
+		h.Signal(syscall.SIGCONT)
+		Eventually(h.ready, patience, "20ms").Should(Equal(http.StatusOK))
+		Expect(string(h.Err.Contents())).To(ContainSubstring("ready=false reason=stale-belief"))
+	})
+})
