Account for free retries in the coordinator's fleet test

Change: such retries are counted apart, and may not be more than the refusals that the endpoints gave for that reason; all others keep to the budgets as before.

--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -163,6 +163,7 @@
 
 // coordinate carries out the actions of a coordinator.
 func (w *fleet) coordinate(h *fleetHost, a Actions) {
+	h.load.count(a.Events)
 	for _, q := range a.Queries {
 		w.answerQuery(h, q)
 	}
@@ -187,7 +188,6 @@
 	for _, c := range a.Cancel {
 		w.withdraw(h, c)
 	}
-	h.load.count(a.Events)
 	h.ticks[0] = h.coordinator.Next(w.now)
 }
 
@@ -269,6 +269,9 @@
 			return
 		}
 	}
+	if r.Reply.Code == result.SnapshotGone {
+		target.load.gone++
+	}
 	copies := 1
 	if w.chance(w.loss) {
 		copies = 2
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -113,7 +113,7 @@
 	if index != q.lostFrom {
 		q.lostFrom, q.lost = index, q.lost[:0]
 	}
-	if index == q.index {
+	if index == q.index && !slices.Contains(q.lost, q.snapshot.ID) {
 		q.lost = append(q.lost, q.snapshot.ID)
 	}
 	next := chooseSnapshot(now, index, q.p.Service.FreshSnapshots, q.p.Replicas, q.lost)
