--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -378,7 +378,7 @@
 		addresses = append(addresses, other.self.Address)
 	}
 	for _, handover := range h.coordinator.Handovers() {
-		for _, successor := range permit.Successors(handover.Issuer, addresses) {
+		for _, successor := range permit.Successors(handover.Issuer, addresses, permit.SuccessorCount) {
 			w.at(successor).coordinator.Receive(w.now, handover)
 		}
 	}
