--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"container/heap"
-	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"pgregory.net/rapid"
@@ -15,7 +12,6 @@
 	"github.com/gypsumlug/gypsumlug/api"
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
-	"github.com/gypsumlug/gypsumlug/internal/keyrange"
 	"github.com/gypsumlug/gypsumlug/internal/permit"
 	"github.com/gypsumlug/gypsumlug/internal/relay"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -411,78 +407,6 @@
 	w.relay(h, h.relay.SetView(w.now, v))
 }
 
-// endpointModel is an endpoint with a fault.
-type endpointModel struct {
-	mode     string
-	inFlight map[dispatch.Key]func(dispatch.Reply)
-}
-
-var endpointModes = []string{"ok", "ok", "ok", "shed", "leaving", "gone", "crash", "silent", "fail", "slow"}
-
-// recover ends the faults of all endpoints.
-func (w *fleet) recover() {
-	for _, e := range w.endpoints {
-		e.mode = "ok"
-	}
-}
-
-func (e *endpointModel) send(w *fleet, h *fleetHost, r dispatch.Request) {
-	completed := false
-	complete := func(reply dispatch.Reply) {
-		if !completed {
-			completed = true
-			reply.Service = time.Millisecond
-			w.relay(h, h.relay.Complete(w.now, reply))
-		}
-	}
-	e.inFlight[r.Key] = complete
-	w.after(w.delay(2), nil, func() {
-		reply := e.serve(w, r)
-		took := w.delay(5)
-		if e.mode == "slow" {
-			took += 150 * time.Millisecond
-		}
-		w.after(took, h, func() { complete(reply) })
-	})
-}
-
-func (e *endpointModel) abort(w *fleet, h *fleetHost, k dispatch.Key) {
-	if w.chance(0.5) {
-		complete := e.inFlight[k]
-		w.after(w.delay(3), h, func() {
-			complete(dispatch.Reply{Key: k, Outcome: dispatch.Unknown, Code: result.Cancelled})
-		})
-	}
-}
-
-// serve runs or refuses a request that reached the endpoint.
-func (e *endpointModel) serve(w *fleet, r dispatch.Request) dispatch.Reply {
-	switch {
-	case e.mode == "shed" && w.chance(0.5):
-		return r.Refuse(result.EndpointShed)
-	case e.mode == "leaving":
-		return r.Refuse(result.EndpointLeaving)
-	case e.mode == "gone" && r.Operation == dispatch.Search:
-		return r.Refuse(result.SnapshotGone)
-	}
-	w.ran(r)
-	reply := dispatch.Reply{Key: r.Key, Endpoint: r.Endpoint, Snapshot: r.Snapshot, Range: r.Range}
-	switch {
-	case e.mode == "crash" || fingerprint("", r.Body) == poison:
-		return r.Lose(result.EndpointCrashed)
-	case e.mode == "silent":
-		return r.Lose(result.ConnectionSilent)
-	case e.mode == "fail":
-		reply.Outcome, reply.Code = dispatch.Failed, result.EndpointFailed
-	case r.Operation == dispatch.Submit:
-		reply.Outcome, reply.Body = dispatch.OK, "outcome of "+r.Body
-	default:
-		reply.Outcome, reply.Hits = dispatch.OK, documents(r.Snapshot, r.Range)
-		w.served(r)
-	}
-	return reply
-}
-
 var (
 	addresses   = []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}
 	endpointIDs = []string{"e0", "e1", "e2", "e3", "o0", "o1", "o2"}
@@ -497,78 +421,3 @@
 	}
 	return 0
 }
-
-// newFleetBundle returns "search", with two snapshots, and "orders".
-func newFleetBundle(t testing.TB, revision config.Revision, orders bool) *config.Bundle {
-	search := config.Service{
-		Format: config.FormatVersion, Name: "search", Preference: config.PreferLatency, Repeatable: true,
-		LatencyTargetMS: 60, DeadlineMS: 200, MaxHits: 64, QueueLimit: 3, InFlightLimit: 4,
-		Hedge: config.Hedge{PercentilePerMille: 950, Max: 2, BudgetPerMille: hedgePerMille},
-		Retry: config.Retry{Max: 3, BudgetPerMille: retryPerMille},
-	}
-	submits := config.Service{
-		Format: config.FormatVersion, Name: "orders", Preference: config.PreferCoverage, Urgency: config.Normal,
-		LatencyTargetMS: 60, DeadlineMS: 300, MaxHits: 1, QueueLimit: 3, InFlightLimit: 2,
-		Retry: config.Retry{Max: 2, BudgetPerMille: retryPerMille}, Permit: config.Permit{LifetimeMS: 2000, RetentionMS: 600_000, Limit: 1000},
-	}
-	indexes := []config.Index{
-		{Format: config.FormatVersion, Service: "search", Snapshots: []config.Snapshot{newSnapshot(1, 3, endpointIDs[:4]), newSnapshot(2, maxShards, endpointIDs[:4])}},
-		{Format: config.FormatVersion, Service: "orders", Snapshots: []config.Snapshot{newSnapshot(1, 2, endpointIDs[4:])}},
-	}
-	services := []config.Service{search, submits}
-	if !orders {
-		indexes, services = indexes[:1], services[:1]
-		services[0].Preference = config.PreferCoverage
-	}
-	return buildBundle(t, revision, services, indexes)
-}
-
-// changeServices returns a bundle whose services are changed.
-func changeServices(t testing.TB, b *config.Bundle, change func(search, orders *config.Service)) *config.Bundle {
-	search, orders := *b.Service("search"), *b.Service("orders")
-	change(&search, &orders)
-	searchIndex, ordersIndex := *b.Index("search"), *b.Index("orders")
-	searchIndex.Endpoints, ordersIndex.Endpoints = nil, nil
-	return buildBundle(t, b.Revision+1, []config.Service{search, orders}, []config.Index{searchIndex, ordersIndex})
-}
-
-// newSnapshot gives each shard two of the endpoints, or all three.
-func newSnapshot(id uint64, shards int, endpoints []string) config.Snapshot {
-	s := config.Snapshot{ID: id}
-	for i, r := range keyrange.Split(shards) {
-		replicas := []string{endpoints[i%len(endpoints)], endpoints[(i+1)%len(endpoints)]}
-		s.Shards = append(s.Shards, config.Shard{Range: r, Replicas: replicas})
-	}
-	return s
-}
-
-func buildBundle(t testing.TB, revision config.Revision, services []config.Service, indexes []config.Index) *config.Bundle {
-	documents := make(map[string][]byte)
-	manifest := config.Manifest{Format: config.FormatVersion, Revision: revision}
-	add := func(kind config.Kind, name string, document any) {
-		data, _ := json.Marshal(document)
-		documents[config.Hash(data)] = data
-		manifest.Documents = append(manifest.Documents, config.DocumentRef{Kind: kind, Name: name, Hash: config.Hash(data), Size: len(data)})
-	}
-	for i := range services {
-		seen := make(map[string]bool)
-		for _, s := range indexes[i].Snapshots {
-			for _, sh := range s.Shards {
-				for _, id := range sh.Replicas {
-					if !seen[id] {
-						seen[id] = true
-						indexes[i].Endpoints = append(indexes[i].Endpoints, config.Endpoint{ID: id, Address: fmt.Sprintf("10.1.0.%d:80", len(seen)), Slots: 2, MaxConnections: 50})
-					}
-				}
-			}
-		}
-		add(config.KindService, services[i].Name, services[i])
-		add(config.KindIndex, indexes[i].Service, indexes[i])
-	}
-	data, _ := json.Marshal(manifest)
-	bundle, err := config.NewBundle(data, documents)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return bundle
-}
