--- a/internal/roster/assign.go
+++ b/internal/roster/assign.go
@@ -24,7 +24,7 @@
 	Generations = 2
 	// DirectHostsPerSlot is the number of hosts per slot up to which each host
 	// sends to the endpoint itself.
-	DirectHostsPerSlot = 2
+	DirectHostsPerSlot = 1
 	// WatchersPerDataCentre is the number of hosts of a data centre that watch
 	// the platform.
 	WatchersPerDataCentre = 2
