--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -29,9 +29,10 @@
 	// to a connection that it took from the idle list.
 	orders chan order
 	opened time.Time
-	// busySince is the Unix time in nanoseconds at which the search in flight was
-	// written, or zero.
+	// busySince is the Unix time in nanoseconds at which the attempt in flight was
+	// written, or zero; search tells whether it is a search.
 	busySince atomic.Int64
+	search    atomic.Bool
 	// lastAlive is when the last reply came.
 	lastAlive time.Time
 
--- a/internal/endpointhttp/pool.go
+++ b/internal/endpointhttp/pool.go
@@ -27,6 +27,9 @@
 	// lastAlive is the Unix time in nanoseconds of the last reply on any
 	// connection.
 	lastAlive atomic.Int64
+	// lastAnswer is when the last reply to an attempt came, likewise. An endpoint
+	// that answers probes and no attempts is at fault itself.
+	lastAnswer atomic.Int64
 	// lastSilent is when a connection was last found silent, likewise.
 	lastSilent atomic.Int64
 	// typical is a moving average of the time of an exchange, in nanoseconds.
--- a/internal/endpointhttp/silence.go
+++ b/internal/endpointhttp/silence.go
@@ -23,9 +23,10 @@
 	suspicion = 5 * time.Second
 )
 
-// busyNow marks the connection as carrying a search since began.
+// busyNow marks the connection as carrying an attempt since began.
 func (c *conn) busyNow(j *job, began time.Time) {
-	if j.kind == jobAttempt && j.req.Operation == dispatch.Search {
+	if j.kind == jobAttempt {
+		c.search.Store(j.req.Operation == dispatch.Search)
 		c.busySince.Store(began.UnixNano())
 	}
 }
@@ -36,6 +37,7 @@
 	if j.kind != jobAttempt {
 		return
 	}
+	c.pool.lastAnswer.Store(now.UnixNano())
 	old := c.pool.typical.Load()
 	took := int64(now.Sub(began))
 	if old == 0 {
@@ -69,8 +71,9 @@
 }
 
 // watchSilence cuts searches on connections that went silent. If nothing tells
-// whether the endpoint answers, it probes the endpoint on another connection, and
-// cuts the longest search to make room for that if every connection is in use.
+// whether the endpoint answers, it probes the idle connections, which may have
+// gone silent too, or a new one. It cuts the longest search to make room for that
+// if every connection is in use.
 func (p *pool) watchSilence(now time.Time) {
 	limit := p.silenceLimit()
 	p.mu.Lock()
@@ -83,15 +86,15 @@
 	switch {
 	case room && now.After(p.proveAfter):
 		p.proveAfter = now.Add(p.client.opts.ProbeTimeout)
-		p.proveLocked()
-	case !room && now.Sub(unproved.since()) > 2*limit:
+		p.proveLocked(unproved.since())
+	case !room && unproved.search.Load() && now.Sub(unproved.since()) > 2*limit:
 		unproved.cut()
 	}
 }
 
 // cutSilentLocked cuts every search over the limit since which the endpoint
-// answered elsewhere, and returns the longest search over half of the limit of
-// which that is not known.
+// answered elsewhere, and returns the longest attempt over half of the limit of
+// which that is not known; searches go first.
 func (p *pool) cutSilentLocked(now time.Time, limit time.Duration) *conn {
 	var unproved *conn
 	for c := range p.all {
@@ -102,28 +105,47 @@
 		}
 		elsewhere := p.lastAlive.Load() > since.Add(age/2).UnixNano()
 		switch {
-		case elsewhere && age >= limit:
+		case elsewhere && age >= limit && c.search.Load():
 			p.foundSilent(now)
 			c.cut()
-		case !elsewhere && (unproved == nil || since.Before(unproved.since())):
+		case !elsewhere && (unproved == nil || c.longerThan(unproved)):
 			unproved = c
 		}
 	}
 	return unproved
 }
 
-// proveLocked probes the endpoint on an idle or new connection.
-func (p *pool) proveLocked() {
-	probe := newProbeJob(p.client.opts.ProbeTimeout)
-	if last := len(p.idle) - 1; last >= 0 {
-		p.orderLocked(last, order{job: probe})
-		return
+// longerThan orders busy connections: searches first, then the longest.
+func (c *conn) longerThan(other *conn) bool {
+	if c.search.Load() != other.search.Load() {
+		return c.search.Load()
+	}
+	return c.since().Before(other.since())
+}
+
+// proveLocked probes the idle connections that gave no reply since a time. Until
+// they answer they carry nothing. Without any it probes another idle one, or opens
+// one.
+func (p *pool) proveLocked(since time.Time) {
+	timeout := p.client.opts.ProbeTimeout
+	probed := false
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].lastAlive.Before(since) {
+			p.orderLocked(i, order{job: newProbeJob(timeout)})
+			probed = true
+		}
+	}
+	switch last := len(p.idle) - 1; {
+	case probed:
+	case last >= 0:
+		p.orderLocked(last, order{job: newProbeJob(timeout)})
+	default:
+		p.cancels = append(p.cancels, newProbeJob(timeout))
+		p.dialNeededLocked()
 	}
-	p.cancels = append(p.cancels, probe)
-	p.dialNeededLocked()
 }
 
-// since returns when the search in flight was written, or the zero time.
+// since returns when the attempt in flight was written, or the zero time.
 func (c *conn) since() time.Time {
 	if n := c.busySince.Load(); n != 0 {
 		return time.Unix(0, n)
