--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// Close cuts every connection without a goodbye, so that peers take what has no
+// answer for unknown.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.stopping = true
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	s.mu.Unlock()
+	s.closeSessions()
+	s.running.Wait()
+}
+
 func (s *Server) closeSessions() {
 	s.cancel()
 	s.mu.Lock()
