--- a/internal/endpointhttp/outcome.go
+++ b/internal/endpointhttp/outcome.go
@@ -53,16 +53,16 @@
 	}
 }
 
-// noReply judges a request that got no reply in time. Replies on other
-// connections since it was written tell that the connection is at fault.
+// noReply judges a request that got no reply in time. Replies to attempts on
+// other connections since it was written tell that the connection is at fault.
 func (c *conn) noReply(j *job, began time.Time) verdict {
-	othersAnswer := c.pool.lastAlive.Load() > began.UnixNano()
 	out := verdict{reply: j.req.Lose(result.OutcomeUnknown), close: CloseTimeout}
-	if othersAnswer {
+	if c.pool.lastAnswer.Load() > began.UnixNano() {
 		out.reply.Code = result.ConnectionSilent
 	}
-	if othersAnswer || j.kind == jobProbe {
+	if c.pool.lastAlive.Load() > began.UnixNano() || j.kind == jobProbe {
 		out.close = CloseSilent
+		c.pool.foundSilent(time.Now())
 	}
 	if j.wasCancelled() {
 		out.reply.Code = result.Cancelled
