--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 // Daemon is one running host.
 type Daemon struct {
 	settings settings.Settings
+	options  Options
 	log      zerolog.Logger
 	clock    clock
 	self     view.Host
@@ -56,10 +57,21 @@
 	peerEvents serial
 }
 
+// Options change how a host reaches others. The zero value is for production.
+type Options struct {
+	// Dial opens connections to peers and to the platform; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
 // Start opens the listeners and starts the loops of one host. The caller ends
 // it with Stop or Kill.
 func Start(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, clock: newClock(), counters: telemetry.NewCounters(), peerSet: metrics.NewSet()}
+	return StartWith(s, log, Options{})
+}
+
+// StartWith is Start with options.
+func StartWith(s settings.Settings, log zerolog.Logger, o Options) (*Daemon, error) {
+	d := &Daemon{settings: s, options: o, log: log, clock: newClock(), counters: telemetry.NewCounters(), peerSet: metrics.NewSet()}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.view.Store(&view.View{Reason: result.NotReady})
 	if err := d.listen(); err != nil {
@@ -82,8 +94,12 @@
 		Incarnation: view.Incarnation{Address: d.PeerAddress(), Start: randomStart()},
 		DataCentre:  d.settings.DataCentre,
 	}
-	config := peer.Config{Self: d.PeerAddress(), Metrics: d.peerSet}
-	d.platform = platform.New(platform.Options{Addresses: platformAddresses(d.settings.Platform), OnCall: d.countPlatformCall})
+	config := peer.Config{Self: d.PeerAddress(), Metrics: d.peerSet, Dial: d.options.Dial}
+	d.platform = platform.New(platform.Options{
+		Addresses: platformAddresses(d.settings.Platform),
+		OnCall:    d.countPlatformCall,
+		Dial:      d.options.Dial,
+	})
 	d.peers = peer.NewClient(config, d.peerBroken)
 	d.peerServer = peer.NewServer(config, peerHandler{d})
 	d.control = newControlLoop(d.clock, d.self, d.settings.Peers, milliseconds(d.settings.StartWaitMS))
@@ -182,3 +198,10 @@
 }
 
 func (h *httpServer) address() string { return h.listener.Addr().String() }
+
+// close cuts every connection.
+func (h *httpServer) close() {
+	if h.server != nil {
+		_ = h.server.Close()
+	}
+}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -42,8 +42,8 @@
 // Kill ends the host at once and cuts what is in flight.
 func (d *Daemon) Kill() {
 	d.cancel()
-	_ = d.callers.server.Close()
-	_ = d.admin.server.Close()
+	d.callers.close()
+	d.admin.close()
 	d.peerServer.Close()
 	d.closeListeners()
 	d.peers.Close()
--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -29,10 +29,8 @@
 	// to a connection that it took from the idle list.
 	orders chan order
 	opened time.Time
-	// busySince is the Unix time in nanoseconds at which the attempt in flight was
-	// written, or zero; search tells whether it is a search.
-	busySince atomic.Int64
-	search    atomic.Bool
+	// search tells whether the attempt in flight is a search.
+	search atomic.Bool
 	// lastAlive is when the last reply came.
 	lastAlive time.Time
 
@@ -155,7 +153,7 @@
 	c.sock.begin()
 	began := time.Now()
 	c.busyNow(j, began)
-	defer c.busySince.Store(0)
+	defer c.sock.busySince.Store(0)
 	if _, err := c.sock.Write(c.request); err != nil {
 		return c.writeFailed(j, err)
 	}
--- a/internal/endpointhttp/silence.go
+++ b/internal/endpointhttp/silence.go
@@ -6,8 +6,8 @@
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 )
 
-// Detection of connections that went silent with a search on them. A search that
-// takes silenceFactor times the typical exchange, and at least the floor, while
+// Detection of connections that went silent with a search on them. A search of
+// which nothing is read for silenceFactor times the typical exchange, and at least the floor, while
 // the endpoint answers on other connections, is taken to be lost with its
 // connection, and is retried. A submit keeps its connection until its deadline,
 // since cutting it would only make its outcome unknown sooner.
@@ -27,7 +27,7 @@
 func (c *conn) busyNow(j *job, began time.Time) {
 	if j.kind == jobAttempt {
 		c.search.Store(j.req.Operation == dispatch.Search)
-		c.busySince.Store(began.UnixNano())
+		c.sock.busySince.Store(began.UnixNano())
 	}
 }
 
@@ -145,9 +145,9 @@
 	}
 }
 
-// since returns when the attempt in flight was written, or the zero time.
+// since returns when the attempt in flight last made progress, or the zero time.
 func (c *conn) since() time.Time {
-	if n := c.busySince.Load(); n != 0 {
+	if n := c.sock.busySince.Load(); n != 0 {
 		return time.Unix(0, n)
 	}
 	return time.Time{}
--- a/internal/endpointhttp/silence_test.go
+++ b/internal/endpointhttp/silence_test.go
@@ -1,6 +1,7 @@
 package endpointhttp
 
 import (
+	"net"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -68,6 +69,18 @@
 		Expect(knownOf(a)).To(Equal(cancelled))
 	})
 
+	ginkgo.It("is not one on which a reply is arriving", func() {
+		near, far := net.Pipe()
+		ginkgo.DeferCleanup(near.Close)
+		c := newConn(&pool{}, near)
+		c.sock.begin()
+		c.sock.busySince.Store(1)
+		go func() { _, _ = far.Write([]byte("H")) }()
+		_, err := c.sock.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(c.since())).To(BeNumerically("<", farDeadline))
+	})
+
 	ginkgo.It("puts the host's other connections under suspicion once several endpoints are hit", func() {
 		c := newTestClient(Options{}, silentOn().address(), 1)
 		other := silentOn()
--- a/internal/endpointhttp/socket.go
+++ b/internal/endpointhttp/socket.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 )
@@ -22,6 +24,9 @@
 	written int
 	// allowance is how many bytes of the reply may still be read.
 	allowance int
+	// busySince is the Unix time in nanoseconds of the last byte written or read
+	// for the attempt in flight, or zero.
+	busySince atomic.Int64
 	// readErr is the error of the network, if there was one.
 	readErr error
 
@@ -60,6 +65,9 @@
 	}
 	n, err := s.Conn.Read(p)
 	s.allowance -= n
+	if n > 0 && s.busySince.Load() != 0 {
+		s.busySince.Store(time.Now().UnixNano())
+	}
 	if err != nil {
 		s.readErr = err
 	}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,8 @@
 	Self string
 	// Metrics receives the counters. It may be shared between client and server.
 	Metrics *metrics.Set
+	// Dial opens a connection to a peer address; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds opening a connection, with its hello.
 	DialTimeout time.Duration
 	// RedialDelay is how long messages are refused after a failed dial without
@@ -82,12 +85,20 @@
 	setDefault(&c.IdleTimeout, defaultIdleTimeout)
 	setDefault(&c.QueueLength, defaultQueueLength)
 	setDefault(&c.CallLimit, defaultCallLimit)
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
 	return c
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func setDefault[T comparable](value *T, fallback T) {
 	var zero T
 	if *value == zero {
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -50,8 +51,9 @@
 func (l *link) dial() (*connection, error) {
 	config := l.client.config
 	deadline := time.Now().Add(config.DialTimeout)
-	dialer := net.Dialer{Deadline: deadline}
-	conn, err := dialer.Dial("tcp", l.peer)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	conn, err := config.Dial(ctx, l.peer)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -46,6 +47,8 @@
 	Timeout time.Duration
 	// OnCall counts calls; it may be nil. It must be safe for concurrent use.
 	OnCall CallHook
+	// Dial opens a connection to an address; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client reads the platform's service. It is safe for concurrent use.
@@ -65,6 +68,9 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
 	}
+	if o.Dial != nil {
+		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return o.Dial(ctx, address) }
+	}
 	return &Client{options: o, http: &http.Client{Transport: transport}}
 }
 
