Publish newer indexes in the query fuzz test

The oracle knew one index only, so that restarts on a newer one and moved shards were tested by two examples.

--- a/internal/query/fuzz_test.go
+++ b/internal/query/fuzz_test.go
@@ -22,8 +22,10 @@
 // world is the oracle of one query: it knows what each snapshot holds, which
 // attempts ran and what each good reply carried.
 type world struct {
-	t       *rapid.T
-	index   *config.Index
+	t     *rapid.T
+	index *config.Index
+	// all holds every snapshot that was ever published.
+	all     []*config.Snapshot
 	service *config.Service
 	q       *query.Query
 	now     time.Duration
@@ -39,7 +41,8 @@
 	answers         []*query.Answer
 	primaries       int
 	// unsent counts attempts that were no sign of an endpoint's load.
-	unsent int
+	unsent   int
+	restarts int
 	// gone holds what endpoints said that they do not hold.
 	gone map[held]bool
 }
@@ -118,6 +121,25 @@
 	return true
 }
 
+// publish replaces the latest index: with another snapshot, or with the newest
+// one on other shards and replicas.
+func (w *world) publish(t *rapid.T) {
+	newest := w.index.Snapshots[len(w.index.Snapshots)-1].ID
+	x := newIndex(t)
+	for i := range x.Snapshots {
+		x.Snapshots[i].ID += newest - 1
+	}
+	w.know(x)
+	clear(w.gone)
+}
+
+func (w *world) know(x *config.Index) {
+	w.index = x
+	for i := range x.Snapshots {
+		w.all = append(w.all, &x.Snapshots[i])
+	}
+}
+
 func newIndex(t *rapid.T) *config.Index {
 	x := &config.Index{Service: "s"}
 	for _, id := range []string{"e1", "e2", "e3", "e4"} {
@@ -137,7 +159,6 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t:        t,
-		index:    newIndex(t),
 		now:      time.Second,
 		leaving:  make(map[string]bool),
 		open:     make(map[uint32]dispatch.Request),
@@ -148,6 +169,7 @@
 		retries:  rapid.IntRange(0, 4).Draw(t, "retries"),
 		rng:      rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 	}
+	w.know(newIndex(t))
 	preference := rapid.SampledFrom([]config.Preference{config.PreferLatency, config.PreferCoverage}).Draw(t, "preference")
 	w.service = &config.Service{
 		Name: "s", Preference: preference, LatencyTargetMS: 50, DeadlineMS: 100, MaxHits: 12,
@@ -158,7 +180,7 @@
 		w.leaving["e1"] = true
 	}
 	w.q = query.New(query.Params{
-		ID: "q", Service: w.service, Index: w.index, Deadline: w.now + w.service.Deadline(),
+		ID: "q", Service: w.service, Index: w.index, LatestIndex: func() *config.Index { return w.index }, Deadline: w.now + w.service.Deadline(),
 		Suspicion: suspicion, Replicas: w, Budgets: w, Rand: w.rng,
 	})
 	extra := w.hedges + w.retries
@@ -172,6 +194,15 @@
 	for _, c := range a.Cancel {
 		w.close(c.Attempt)
 	}
+	for _, e := range a.Events {
+		if e.Kind == query.EventRestart {
+			// A restart drops what has arrived and plans anew; their number is
+			// bounded.
+			clear(w.covered)
+			clear(w.gone)
+			w.restarts++
+		}
+	}
 	for _, r := range a.Dispatch {
 		w.dispatch(r)
 	}
@@ -298,7 +329,6 @@
 		w.checkNotRun()
 		return
 	}
-	snapshot := w.snapshot(a.Snapshot)
 	missing := make([]keyrange.Range, 0, len(a.Missing))
 	for _, m := range a.Missing {
 		missing = append(missing, m.Range)
@@ -307,8 +337,8 @@
 	if want := keyrange.Normalize(w.covered[a.Snapshot]); !slices.Equal(covered, want) {
 		w.t.Fatalf("answer covers %v, good replies cover %v", covered, want)
 	}
-	if a.Covered+len(a.Missing) != len(snapshot.Shards) {
-		w.t.Fatalf("%d covered and %d missing of %d shards", a.Covered, len(a.Missing), len(snapshot.Shards))
+	if !w.published(a) {
+		w.t.Fatalf("%d covered and %d missing shards are no version of snapshot %d", a.Covered, len(a.Missing), a.Snapshot)
 	}
 	if want := expected(a.Snapshot, covered, w.service.MaxHits); !slices.Equal(a.Hits, want) {
 		w.t.Fatalf("hits %v, want %v", a.Hits, want)
@@ -324,19 +354,20 @@
 	}
 }
 
-func (w *world) snapshot(id uint64) *config.Snapshot {
-	for i := range w.index.Snapshots {
-		if w.index.Snapshots[i].ID == id {
-			return &w.index.Snapshots[i]
-		}
-	}
-	w.t.Fatalf("snapshot %d does not exist", id)
-	return nil
+// published reports whether a version of the answer's snapshot has as many shards
+// as the answer accounts for.
+func (w *world) published(a *query.Answer) bool {
+	return slices.ContainsFunc(w.all, func(s *config.Snapshot) bool {
+		return s.ID == a.Snapshot && len(s.Shards) == a.Covered+len(a.Missing)
+	})
 }
 
 // checkDispatches bounds the attempts, but those that were no sign of load, by
 // primaries and budgets.
 func (w *world) checkDispatches(extra int) {
+	if w.restarts > 3 {
+		w.t.Fatalf("%d restarts", w.restarts)
+	}
 	if n := len(w.attempts) - w.unsent; n > w.primaries+extra {
 		w.t.Fatalf("%d attempts sent for %d primaries and %d extra", n, w.primaries, extra)
 	}
@@ -352,6 +383,7 @@
 			"refuse":         w.refuse,
 			"lose":           w.lose,
 			"late":           w.repeat,
+			"publish":        w.publish,
 			"advance":        w.advance,
 		})
 		w.now += w.service.Deadline()
