Tell a silent connection from a slow endpoint by what is typical of it

While no exchange is known half of the search's budget is the limit now, and each cut raises what is typical by half, so that an endpoint that became slow gets more time.

--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -29,8 +29,10 @@
 	// to a connection that it took from the idle list.
 	orders chan order
 	opened time.Time
-	// search tells whether the attempt in flight is a search.
-	search atomic.Bool
+	// search tells whether the attempt in flight is a search; patience is half of
+	// its budget, in nanoseconds.
+	search   atomic.Bool
+	patience atomic.Int64
 	// lastAlive is when the last reply came.
 	lastAlive time.Time
 
--- a/internal/endpointhttp/silence.go
+++ b/internal/endpointhttp/silence.go
@@ -7,10 +7,13 @@
 )
 
 // Detection of connections that went silent with a search on them. A search of
-// which nothing is read for silenceFactor times the typical exchange, and at least the floor, while
-// the endpoint answers on other connections, is taken to be lost with its
-// connection, and is retried. A submit keeps its connection until its deadline,
-// since cutting it would only make its outcome unknown sooner.
+// which nothing is read for silenceFactor times the typical exchange, and at
+// least the floor, while the endpoint answers on other connections, is taken to
+// be lost with its connection, and is retried. While no exchange is known, half
+// of the search's budget stands in. Each cut raises what is typical by half, so
+// that an endpoint that became slow is given more time with each. A submit
+// keeps its connection until its deadline, since cutting it would only make its
+// outcome unknown sooner.
 const (
 	silenceFactor = 32
 	// silenceCheck is how often busy connections are looked at.
@@ -27,6 +30,7 @@
 func (c *conn) busyNow(j *job, began time.Time) {
 	if j.kind == jobAttempt {
 		c.search.Store(j.req.Operation == dispatch.Search)
+		c.patience.Store(int64(j.deadline.Sub(began) / 2))
 		c.sock.busySince.Store(began.UnixNano())
 	}
 }
@@ -38,16 +42,29 @@
 		return
 	}
 	c.pool.lastAnswer.Store(now.UnixNano())
-	old := c.pool.typical.Load()
-	took := int64(now.Sub(began))
+	c.pool.learn(now.Sub(began))
+}
+
+// learn adds an exchange to the moving average.
+func (p *pool) learn(took time.Duration) {
+	old := p.typical.Load()
 	if old == 0 {
-		c.pool.typical.Store(took)
+		p.typical.Store(int64(took))
 		return
 	}
-	c.pool.typical.Store(old + (took-old)/typicalWeight)
+	p.typical.Store(old + (int64(took)-old)/typicalWeight)
+}
+
+// cutLimit is how long the search in flight may be without progress.
+func (c *conn) cutLimit() time.Duration {
+	limit := c.pool.silenceLimit()
+	if c.pool.typical.Load() == 0 {
+		return max(limit, time.Duration(c.patience.Load()))
+	}
+	return limit
 }
 
-// silenceLimit is how long a search may be without a reply.
+// silenceLimit is how long an attempt may be without progress by what is typical.
 func (p *pool) silenceLimit() time.Duration {
 	return max(p.client.opts.SilenceFloor, silenceFactor*time.Duration(p.typical.Load()))
 }
@@ -87,7 +104,7 @@
 	case room && now.After(p.proveAfter):
 		p.proveAfter = now.Add(p.client.opts.ProbeTimeout)
 		p.proveLocked(unproved.since())
-	case !room && unproved.search.Load() && now.Sub(unproved.since()) > 2*limit:
+	case !room && unproved.search.Load() && now.Sub(unproved.since()) > 2*unproved.cutLimit():
 		unproved.cut()
 	}
 }
@@ -105,8 +122,10 @@
 		}
 		elsewhere := p.lastAlive.Load() > since.Add(age/2).UnixNano()
 		switch {
-		case elsewhere && age >= limit && c.search.Load():
+		case elsewhere && c.search.Load() && age >= c.cutLimit():
 			p.foundSilent(now)
+			typical := p.typical.Load()
+			p.typical.Store(typical + typical/2)
 			c.cut()
 		case !elsewhere && (unproved == nil || c.longerThan(unproved)):
 			unproved = c
