--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gypsumlug/gypsumlug/api"
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/endpointhttp"
 	"github.com/gypsumlug/gypsumlug/internal/peer"
 	"github.com/gypsumlug/gypsumlug/internal/platform"
@@ -60,7 +61,7 @@
 // Options change how a host reaches others. The zero value is for production.
 type Options struct {
 	// Dial opens connections to peers and to the platform; nil means TCP.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial dial.Func
 }
 
 // Start opens the listeners and starts the loops of one host. The caller ends
--- a/internal/endpointhttp/client.go
+++ b/internal/endpointhttp/client.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/defaults"
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -56,7 +57,7 @@
 	OnOpen  func(endpoint string, err error)
 	OnClose func(endpoint string, reason CloseReason)
 	// Dial opens a connection; nil means TCP.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial dial.Func
 }
 
 // Target says how to reach an endpoint.
@@ -99,12 +100,12 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.ProbeInterval, DefaultProbeInterval)
-	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&o.Freshness, DefaultFreshness)
-	setDefault(&o.SilenceFloor, DefaultSilenceFloor)
-	setDefault(&o.CancelGrace, DefaultCancelGrace)
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&o.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&o.Freshness, DefaultFreshness)
+	defaults.Set(&o.SilenceFloor, DefaultSilenceFloor)
+	defaults.Set(&o.CancelGrace, DefaultCancelGrace)
 	if o.OnStatus == nil {
 		o.OnStatus = func(string, endpointapi.Status) {}
 	}
@@ -115,21 +116,10 @@
 		o.OnClose = func(string, CloseReason) {}
 	}
 	if o.Dial == nil {
-		o.Dial = dialTCP
+		o.Dial = dial.TCP
 	}
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
 // SetTarget adds an endpoint or changes its limits. A changed address closes
 // the connections to the old one as they become idle; attempts that wait move
 // to the new one.
--- a/internal/endpointhttp/endpointhttp_test.go
+++ b/internal/endpointhttp/endpointhttp_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -147,7 +148,7 @@
 		release := make(chan struct{})
 		return Options{Dial: func(_ context.Context, address string) (net.Conn, error) {
 			<-release
-			return dialTCP(context.Background(), address)
+			return dial.TCP(context.Background(), address)
 		}}, release
 	}
 
@@ -172,7 +173,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		ginkgo.DeferCleanup(l.Close)
 		c := newTestClient(Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			conn, err := dialTCP(ctx, address)
+			conn, err := dial.TCP(ctx, address)
 			if err == nil {
 				accepted, _ := l.Accept()
 				_ = accepted.Close()
--- a/internal/endpointhttp/fake_test.go
+++ b/internal/endpointhttp/fake_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 )
@@ -175,7 +176,7 @@
 
 func (d *dialer) dial(ctx context.Context, address string) (net.Conn, error) {
 	d.add(address, 1)
-	c, err := dialTCP(ctx, address)
+	c, err := dial.TCP(ctx, address)
 	if err != nil {
 		d.add(address, -1)
 		return nil, err
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -15,11 +15,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gypsumlug/gypsumlug/internal/defaults"
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
@@ -32,7 +33,7 @@
 	// Metrics receives the counters. It may be shared between client and server.
 	Metrics *metrics.Set
 	// Dial opens a connection to a peer address; nil means TCP.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial dial.Func
 	// DialTimeout bounds opening a connection, with its hello.
 	DialTimeout time.Duration
 	// RedialDelay is how long messages are refused after a failed dial without
@@ -76,17 +77,17 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.DialTimeout, defaultDialTimeout)
-	setDefault(&c.RedialDelay, defaultRedialDelay)
-	setDefault(&c.WriteTimeout, defaultWriteTimeout)
-	setDefault(&c.PingInterval, defaultPingInterval)
-	setDefault(&c.SilenceTimeout, defaultSilenceTimeout)
-	setDefault(&c.ProbeTimeout, defaultProbeTimeout)
-	setDefault(&c.IdleTimeout, defaultIdleTimeout)
-	setDefault(&c.QueueLength, defaultQueueLength)
-	setDefault(&c.CallLimit, defaultCallLimit)
+	defaults.Set(&c.DialTimeout, defaultDialTimeout)
+	defaults.Set(&c.RedialDelay, defaultRedialDelay)
+	defaults.Set(&c.WriteTimeout, defaultWriteTimeout)
+	defaults.Set(&c.PingInterval, defaultPingInterval)
+	defaults.Set(&c.SilenceTimeout, defaultSilenceTimeout)
+	defaults.Set(&c.ProbeTimeout, defaultProbeTimeout)
+	defaults.Set(&c.IdleTimeout, defaultIdleTimeout)
+	defaults.Set(&c.QueueLength, defaultQueueLength)
+	defaults.Set(&c.CallLimit, defaultCallLimit)
 	if c.Dial == nil {
-		c.Dial = dialTCP
+		c.Dial = dial.TCP
 	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
@@ -94,18 +95,6 @@
 	return c
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Handler receives what peers send. From is the sender's peer address. Methods
 // without a context are called in the order of arrival on a connection and must
 // not block; the others run concurrently.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -23,6 +23,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
@@ -48,7 +49,7 @@
 	// OnCall counts calls; it may be nil. It must be safe for concurrent use.
 	OnCall CallHook
 	// Dial opens a connection to an address; nil means TCP.
-	Dial func(ctx context.Context, address string) (net.Conn, error)
+	Dial dial.Func
 }
 
 // Client reads the platform's service. It is safe for concurrent use.
--- a/internal/standin/shapes.go
+++ b/internal/standin/shapes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/defaults"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
 )
 
@@ -51,10 +52,10 @@
 	s.Shards = max(s.Shards, 1)
 	s.Replicas = max(s.Replicas, 1)
 	s.ShardsPerEndpoint = max(s.ShardsPerEndpoint, 1)
-	setDefault(&s.Slots, defaultSlots)
-	setDefault(&s.MaxConnections, defaultMaxConnections)
-	setDefault(&s.DeadlineMS, defaultDeadlineMS)
-	setDefault(&s.LatencyTargetMS, min(defaultLatencyTargetMS, s.DeadlineMS))
+	defaults.Set(&s.Slots, defaultSlots)
+	defaults.Set(&s.MaxConnections, defaultMaxConnections)
+	defaults.Set(&s.DeadlineMS, defaultDeadlineMS)
+	defaults.Set(&s.LatencyTargetMS, min(defaultLatencyTargetMS, s.DeadlineMS))
 	if s.SlotWait == 0 {
 		s.SlotWait = defaultSlotWait
 	}
@@ -103,9 +104,3 @@
 	}
 	return out
 }
-
-func setDefault(v *int, d int) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -92,9 +92,6 @@
 // Counter returns the counter with the given name, created on first use.
 func (c *Counters) Counter(name string) *metrics.Counter { return c.set.GetOrCreateCounter(name) }
 
-// Gauge registers a gauge that is read when metrics are written.
-func (c *Counters) Gauge(name string, read func() float64) { c.set.GetOrCreateGauge(name, read) }
-
 // Write writes the counters and the process metrics in Prometheus text format.
 func (c *Counters) Write(w io.Writer) {
 	c.set.WritePrometheus(w)
