--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,8 +40,8 @@
 	StartJitter = 3 * time.Second
 )
 
-// Quarantine keeps the requests that crash endpoints. Package quarantine
-// implements it.
+// Quarantine keeps the requests that crash endpoints; quarantine.Set implements
+// it.
 type Quarantine interface {
 	// Crash takes a crash that this host saw.
 	Crash(now time.Duration, crash view.Crash)
@@ -51,8 +51,9 @@
 	Merge(now time.Duration, hints []peerwire.SuspectHint)
 	// Hints returns at most limit hints for a heartbeat.
 	Hints(now time.Duration, limit int) []peerwire.SuspectHint
-	// Degrees returns the requests that aren't innocent. The map is new.
-	Degrees(now time.Duration) map[view.Fingerprint]view.Suspicion
+	// Degrees returns the requests that aren't innocent at the time of the last
+	// event. The map is new.
+	Degrees() map[view.Fingerprint]view.Suspicion
 	// Tick drops what has expired.
 	Tick(now time.Duration)
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -210,6 +210,16 @@
 		f.Run(control.LeavingTTL+control.HeartbeatInterval, nil)
 		Expect(knowing(f, "service-0-1")).To(BeZero())
 	}),
+	Entry("a request that crashes two endpoints is quarantined everywhere", func(f *fleetbench.Fleet) {
+		f.Observe(f.Hosts[3], view.Observation{Crash: &view.Crash{Endpoint: "service-0-1", InFlight: []view.Fingerprint{7, 8}}})
+		f.Run(leavingTime, nil)
+		f.Observe(f.Hosts[5], view.Observation{Crash: &view.Crash{Endpoint: "service-0-2", InFlight: []view.Fingerprint{7}, Alone: true}})
+		f.Observe(f.Hosts[6], view.Observation{Recovered: []view.Fingerprint{8}})
+		f.Run(leavingTime, nil)
+		for _, h := range f.Hosts {
+			Expect(h.View.Suspects).To(Equal(map[view.Fingerprint]view.Suspicion{7: view.Quarantined}))
+		}
+	}),
 	Entry("many leaving endpoints at once", func(f *fleetbench.Fleet) {
 		for i := range 300 {
 			f.Observe(f.Hosts[i%24], view.Observation{Leaving: endpointName(i)})
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -113,7 +113,7 @@
 	}
 	before := m.suspects
 	m.cfg.Quarantine.Merge(now, hints)
-	if !sameDegrees(before, m.cfg.Quarantine.Degrees(now)) {
+	if !sameDegrees(before, m.cfg.Quarantine.Degrees()) {
 		m.announce(now)
 	}
 }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -87,19 +87,19 @@
 // of hosts alone waits for the next tick, so that heartbeats don't each publish.
 func (m *Machine) publish(now time.Duration, a *Actions, tick bool) {
 	key := assignmentKey{bundle: m.store.Bundle(), version: m.roster.Version(), state: m.self.State, valid: true}
-	stale := m.urgent || m.leaving.changed || (tick && (key != m.assigned || m.suspectsChanged(now)))
+	stale := m.urgent || m.leaving.changed || (tick && (key != m.assigned || m.suspectsChanged()))
 	if !stale {
 		return
 	}
 	m.urgent = false
 	m.leaving.changed = false
-	m.suspects = m.cfg.Quarantine.Degrees(now)
+	m.suspects = m.cfg.Quarantine.Degrees()
 	m.published = m.buildView(now, key)
 	a.View = m.published
 }
 
-func (m *Machine) suspectsChanged(now time.Duration) bool {
-	return !sameDegrees(m.suspects, m.cfg.Quarantine.Degrees(now))
+func (m *Machine) suspectsChanged() bool {
+	return !sameDegrees(m.suspects, m.cfg.Quarantine.Degrees())
 }
 
 func (m *Machine) buildView(now time.Duration, key assignmentKey) *view.View {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -80,7 +80,7 @@
 		},
 		Hosts:    m.roster.Entries(now),
 		Leaving:  m.leavingStatus(now),
-		Suspects: m.suspectStatus(now),
+		Suspects: m.suspectStatus(),
 		Counts:   m.counts,
 	}
 }
@@ -96,8 +96,8 @@
 	return out
 }
 
-func (m *Machine) suspectStatus(now time.Duration) []Suspect {
-	degrees := m.cfg.Quarantine.Degrees(now)
+func (m *Machine) suspectStatus() []Suspect {
+	degrees := m.cfg.Quarantine.Degrees()
 	out := make([]Suspect, 0, len(degrees))
 	for f, degree := range degrees {
 		out = append(out, Suspect{Fingerprint: f, Degree: degree})
--- a/internal/fleetbench/fleet.go
+++ b/internal/fleetbench/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/control"
 	"github.com/gypsumlug/gypsumlug/internal/platformapi"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
@@ -94,7 +95,7 @@
 	h.Alive, h.Paused = true, false
 	h.View, h.Highest, h.held = nil, 0, nil
 	self := view.Host{Incarnation: view.Incarnation{Address: h.Address, Start: f.starts}, DataCentre: h.DataCentre}
-	h.Machine = control.New(control.Config{Quarantine: NoQuarantine{}}, self, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
+	h.Machine = control.New(control.Config{Quarantine: quarantine.New(quarantine.Config{})}, self, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
 	f.tick(h)
 }
 
