--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -30,11 +30,10 @@
 	HeartbeatInterval = time.Second
 	// PauseAfter is the gap between two ticks that counts as a pause.
 	PauseAfter = 3 * time.Second
-	// SyncWait is how long a host waits for peers and platform before it is ready
-	// with what it has. It waits up to SyncWaits times as long while it is
-	// fetching a higher revision.
+	// SyncWait is the default of Config.StartWait. A host waits up to SyncWaits
+	// times as long while it is fetching a higher revision.
 	SyncWait = 10 * time.Second
-	// SyncWaits multiplies SyncWait while a higher revision is being fetched.
+	// SyncWaits multiplies the wait while a higher revision is being fetched.
 	SyncWaits = 3
 	// StartJitter spreads the first calls to the platform when many hosts start.
 	StartJitter = 3 * time.Second
@@ -64,6 +63,9 @@
 	Quarantine Quarantine
 	// Seeds are peer addresses that are tried besides the platform's list.
 	Seeds []string
+	// StartWait is how long the host waits for peers and platform before it is
+	// ready with what it has; zero means SyncWait.
+	StartWait time.Duration
 }
 
 // Machine is the control state of one host. It isn't safe for concurrent use.
@@ -112,6 +114,9 @@
 // [view.HostStarting].
 func New(cfg Config, self view.Host, rng *rand.Rand) *Machine {
 	self.State = view.HostStarting
+	if cfg.StartWait <= 0 {
+		cfg.StartWait = SyncWait
+	}
 	m := &Machine{
 		cfg:    cfg,
 		self:   self,
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -249,6 +249,27 @@
 	Expect(f.Status(f.Hosts[0]).Alone).To(BeTrue())
 })
 
+var _ = DescribeTable("a host that the platform doesn't list, while the platform is down",
+	func(seeded bool) {
+		f := fleetbench.New(4, 1, 1)
+		f.Platform.List = f.Platform.List[:3]
+		f.Platform.Publish(shape.Build(1, 0))
+		for _, h := range f.Hosts[:3] {
+			f.Start(h)
+		}
+		f.Run(time.Minute, nil)
+		f.Platform.Down = true
+		if seeded {
+			f.Seeds = []string{f.Hosts[0].Address}
+		}
+		f.Start(f.Hosts[3])
+		f.Run(time.Minute, nil)
+		Expect(f.Hosts[3].View.Ready).To(Equal(seeded))
+	},
+	Entry("finds its peers by its settings", true),
+	Entry("waits without them", false),
+)
+
 var _ = It("counts a peer that has the revision in force with other content", func() {
 	f := running()
 	f.Cut = isolate(fleetbench.Centre(1))
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -59,14 +59,14 @@
 func (m *Machine) synchronized(now time.Duration) bool {
 	s := &m.sync
 	waited := now - s.since
-	if waited >= SyncWaits*SyncWait {
+	if waited >= SyncWaits*m.cfg.StartWait {
 		return true
 	}
 	behind := m.store.Candidate() != 0 || m.roster.Highest() > m.store.Seen()
 	if behind {
 		return false
 	}
-	if waited >= SyncWait {
+	if waited >= m.cfg.StartWait {
 		return true
 	}
 	if s.refreshing {
--- /dev/null
+++ b/internal/fleetbench/fault_bench_test.go
@@ -0,0 +1,122 @@
+package fleetbench_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/fleetbench"
+	"github.com/gypsumlug/gypsumlug/internal/view"
+)
+
+const (
+	// outage is how long the platform is down, or a data centre cut off.
+	outage = 2 * time.Minute
+	// aftermath is how long the fleet is watched after a fault ended.
+	aftermath = 20 * time.Second
+)
+
+// BenchmarkFaults measures a fleet while the platform is down, while a data
+// centre is cut off, and when it joins again.
+func BenchmarkFaults(b *testing.B) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", s.hosts), func(b *testing.B) {
+			for b.Loop() {
+				measureFaults(b, s)
+			}
+		})
+	}
+}
+
+func measureFaults(b *testing.B, s size) {
+	f := fleetbench.New(s.hosts, s.centres, 1)
+	f.Platform.Publish(s.shape.Build(1, 1))
+	f.StartAll(time.Second)
+	f.Run(settle, nil)
+	measureLeaving(b, f, s)
+	measureOutage(b, f)
+	measureRejoin(b, f, s)
+	measureCrash(b, f, s)
+}
+
+// measureLeaving times how long the first sign of a leaving endpoint takes to
+// reach every host.
+func measureLeaving(b *testing.B, f *fleetbench.Fleet, s size) {
+	var worst time.Duration
+	for i := range spreads {
+		endpoint, at := fmt.Sprintf("service-0-%d", i), f.Now
+		f.Observe(f.Hosts[i], view.Observation{Leaving: endpoint})
+		if !f.Run(time.Minute, func() bool { return knowing(f, endpoint) == s.hosts }) {
+			b.Fatalf("%s is known as leaving on %d hosts", endpoint, knowing(f, endpoint))
+		}
+		worst = max(worst, f.Now-at)
+	}
+	b.ReportMetric(worst.Seconds(), "leaving-max-s")
+}
+
+func knowing(f *fleetbench.Fleet, endpoint string) int {
+	n := 0
+	for _, h := range f.Hosts {
+		if h.Alive && h.View.Leaving[endpoint] {
+			n++
+		}
+	}
+	return n
+}
+
+func measureOutage(b *testing.B, f *fleetbench.Fleet) {
+	f.Platform.Down = true
+	calls := f.Platform.Calls
+	f.Run(outage, nil)
+	b.ReportMetric(float64(f.Platform.Calls-calls)/outage.Seconds(), "outage-calls/s")
+	f.Platform.Down = false
+	f.Run(aftermath, nil)
+}
+
+// measureRejoin cuts one data centre off from all, publishes, and joins it again.
+func measureRejoin(b *testing.B, f *fleetbench.Fleet, s size) {
+	alone := fleetbench.Centre(0)
+	f.Cut = func(from, to string) bool { return (from == alone) != (to == alone) }
+	f.Platform.Publish(s.shape.Build(2, 2))
+	f.Run(outage, nil)
+	if f.Ready() != s.hosts {
+		b.Fatalf("%d hosts are ready", f.Ready())
+	}
+	f.Cut = nil
+	f.Meter = &fleetbench.Meter{}
+	at, calls := f.Now, f.Platform.Calls
+	if !f.Run(time.Minute, func() bool { return f.InForce(2) == s.hosts }) {
+		b.Fatalf("the revision is in force on %d hosts", f.InForce(2))
+	}
+	b.ReportMetric((f.Now - at).Seconds(), "rejoin-s")
+	f.Run(aftermath, nil)
+	seconds := (f.Now - at).Seconds()
+	b.ReportMetric(float64(f.Platform.Calls-calls)/seconds, "rejoin-calls/s")
+	b.ReportMetric(float64(f.Meter.Heartbeats)/seconds/float64(s.hosts), "rejoin-heartbeats/host/s")
+	f.Meter = nil
+}
+
+// measureCrash crashes a host and times how long the last of its data centre
+// believes in it.
+func measureCrash(b *testing.B, f *fleetbench.Fleet, s size) {
+	victim := f.Hosts[s.hosts-1]
+	f.Stop(victim)
+	at := f.Now
+	f.Run(3*time.Minute, func() bool { return believing(f, victim) == 0 })
+	b.ReportMetric((f.Now - at).Seconds(), "crash-believed-max-s")
+}
+
+func believing(f *fleetbench.Fleet, victim *fleetbench.Host) int {
+	n := 0
+	for _, h := range f.Hosts {
+		if !h.Alive || h.DataCentre != victim.DataCentre {
+			continue
+		}
+		for i := range h.View.Hosts {
+			if h.View.Hosts[i].Incarnation.Address == victim.Address {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/fleetbench/fleet.go
+++ b/internal/fleetbench/fleet.go
@@ -34,6 +34,8 @@
 	// Cut tells whether messages between two data centres are lost; "" is the
 	// platform. nil means that nothing is lost.
 	Cut func(from, to string) bool
+	// Seeds are the peer addresses in the settings of hosts that start.
+	Seeds []string
 	// Meter measures messages and processor time; it may be nil.
 	Meter *Meter
 
@@ -95,7 +97,7 @@
 	h.Alive, h.Paused = true, false
 	h.View, h.Highest, h.held = nil, 0, nil
 	self := view.Host{Incarnation: view.Incarnation{Address: h.Address, Start: f.starts}, DataCentre: h.DataCentre}
-	h.Machine = control.New(control.Config{Quarantine: quarantine.New(quarantine.Config{})}, self, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
+	h.Machine = control.New(control.Config{Quarantine: quarantine.New(quarantine.Config{}), Seeds: f.Seeds}, self, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
 	f.tick(h)
 }
 
