--- a/internal/fleetbench/fault_bench_test.go
+++ b/internal/fleetbench/fault_bench_test.go
@@ -36,6 +36,7 @@
 	measureLeaving(b, f, s)
 	measureOutage(b, f)
 	measureRejoin(b, f, s)
+	measureLoss(b, f, s)
 	measureCrash(b, f, s)
 }
 
@@ -96,6 +97,19 @@
 	f.Meter = nil
 }
 
+// measureLoss times how long a revision takes while half of all heartbeats are
+// lost.
+func measureLoss(b *testing.B, f *fleetbench.Fleet, s size) {
+	f.Loss = 0.5
+	at := f.Now
+	f.Platform.Publish(s.shape.Build(3, 3))
+	if !f.Run(time.Minute, func() bool { return f.InForce(3) == s.hosts }) {
+		b.Fatalf("the revision is in force on %d hosts", f.InForce(3))
+	}
+	b.ReportMetric((f.Now - at).Seconds(), "half-lost-spread-s")
+	f.Loss = 0
+}
+
 // measureCrash crashes a host and times how long the last of its data centre
 // believes in it.
 func measureCrash(b *testing.B, f *fleetbench.Fleet, s size) {
--- a/internal/fleetbench/network.go
+++ b/internal/fleetbench/network.go
@@ -38,6 +38,9 @@
 		f.unreachable(h, b.To)
 		return
 	}
+	if f.Loss > 0 && f.rng.Float64() < f.Loss {
+		return
+	}
 	message := b.Message
 	f.after(f.delay(), func() {
 		f.step(to, func(now time.Duration) control.Actions {
