--- a/internal/coordinator/routing.go
+++ b/internal/coordinator/routing.go
@@ -171,16 +171,16 @@
 }
 
 // Primary implements query.Budgets.
-func (b *budgets) Primary() {
+func (b *budgets) Primary(int) {
 	b.hedge.Primary()
 	b.retry.Primary()
 }
 
 // TakeHedge implements query.Budgets.
-func (b *budgets) TakeHedge() bool { return b.hedge.Take() }
+func (b *budgets) TakeHedge(int) bool { return b.hedge.Take() }
 
 // TakeRetry implements query.Budgets.
-func (b *budgets) TakeRetry() bool { return b.retry.Take() }
+func (b *budgets) TakeRetry(int) bool { return b.retry.Take() }
 
 // updateBudgets follows the services of the view. A budget keeps what it saved.
 func (m *Machine) updateBudgets() {
--- a/internal/coordinator/submit_attempts.go
+++ b/internal/coordinator/submit_attempts.go
@@ -34,7 +34,7 @@
 	}
 	if !s.attempted {
 		s.attempted = true
-		s.budgets.Primary()
+		s.budgets.Primary(0)
 	}
 	m.dispatch(now, dispatch.Request{
 		Key:       dispatch.Key{Request: s.request.Permit, Attempt: attempt},
@@ -116,7 +116,7 @@
 		m.burn(now, s, result.AllRefused)
 		return
 	}
-	if !s.budgets.TakeRetry() {
+	if !s.budgets.TakeRetry(0) {
 		m.out.Events = append(m.out.Events, query.Event{Kind: query.EventRetryDenied, Code: r.Code})
 		m.burn(now, s, result.AllRefused)
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,42 @@
 	Suspect bool `msgpack:"s"`
 	// Fresh requires a connection that was proved alive just before.
 	Fresh bool `msgpack:"f"`
+	// Message is a caller's HTTP request that is forwarded as it came, instead
+	// of Body. It never leaves the host.
+	Message *Message `msgpack:"-"`
+}
+
+// Field is one header field.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Message is a caller's HTTP request. It is shared by all attempts at it and
+// immutable.
+type Message struct {
+	// ID is the caller's ID of the request, which endpoints echo.
+	ID     string
+	Method string
+	// Host and Target are the authority and the request target as they came.
+	Host   string
+	Target string
+	// Header holds the fields that are forwarded.
+	Header []Field
+	Body   []byte
+	// Once tells that the request runs at most once.
+	Once bool
+}
+
+// Response is an endpoint's whole HTTP response.
+type Response struct {
+	Status int
+	// Stamp is the endpoint's signature of the response; empty without one.
+	Stamp  string
+	Header []Field
+	Body   []byte
+	// Closing tells that the endpoint closes the connection after it.
+	Closing bool
 }
 
 // Outcome tells what is known about an attempt.
@@ -99,6 +135,8 @@
 	// Service is how long the endpoint took, without queueing on hosts.
 	Service time.Duration `msgpack:"t"`
 	Load    *Load         `msgpack:"l"`
+	// Response is the response to a forwarded message.
+	Response *Response `msgpack:"-"`
 }
 
 // Cancel withdraws an attempt. The attempt still gets a reply.
--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -64,11 +64,21 @@
 }
 
 func (q *Query) finishIfComplete() {
-	if !q.done && q.pending == 0 {
+	switch {
+	case q.done:
+	case q.pending == 0:
 		q.finish()
+	case q.hopeless():
+		q.expire()
 	}
 }
 
+// hopeless reports whether a forwarded message can no longer get a useful
+// answer.
+func (q *Query) hopeless() bool {
+	return q.p.Forward != nil && q.covered+q.pending < q.p.Forward.LeastCovered
+}
+
 func (q *Query) finishNotRun(code result.Code) {
 	q.done = true
 	q.out.Answer = &Answer{Code: code}
@@ -77,16 +87,20 @@
 func (q *Query) finish() {
 	q.cancelOpen()
 	q.done = true
-	a := &Answer{Snapshot: q.snapshot.ID, Shards: len(q.shards), Dispatched: q.dispatched}
+	a := &Answer{Snapshot: q.snapshot.ID, Shards: len(q.shards), Dispatched: q.dispatched, Failure: q.failure}
 	for i := range q.shards {
 		s := &q.shards[i]
 		if s.state == shardCovered {
 			a.Covered++
+			if s.response != nil {
+				a.Responses = append(a.Responses, s.response)
+			}
 			continue
 		}
 		a.Missing = append(a.Missing, Missing{Range: s.keys, Code: s.reason})
 	}
 	a.Hits, a.Truncated = q.merge()
+	a.MayHaveRun = q.mayHaveRun
 	a.Code = q.code(a)
 	q.out.Answer = a
 }
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -20,7 +20,7 @@
 		return
 	}
 	endpoint, ok := q.p.Replicas.Pick(now, s.replicas, s.gone)
-	q.p.Budgets.Primary()
+	q.p.Budgets.Primary(i)
 	if !ok {
 		q.noReplica(now, s)
 		return
@@ -68,6 +68,7 @@
 	q.dispatched++
 	s.waiting = false
 	s.open = append(s.open, attempt{number: q.nextAttempt, endpoint: endpoint, alone: q.suspect})
+	s.sent = addOnce(s.sent, endpoint)
 	s.hedgeAt = q.nextHedge(now, s)
 	q.byAttempt[q.nextAttempt] = i
 	q.out.Dispatch = append(q.out.Dispatch, dispatch.Request{
@@ -82,6 +83,7 @@
 		Urgency:   q.p.Service.Urgency,
 		Budget:    q.p.Deadline - now,
 		Suspect:   q.suspect,
+		Message:   q.message(),
 	})
 }
 
@@ -97,6 +99,13 @@
 func (q *Query) attemptFailed(now time.Duration, i int, a attempt, r *dispatch.Reply) {
 	s := &q.shards[i]
 	s.reason = r.Code
+	if r.Code == result.ConnectFailed || r.Code == result.ConnectionLimit {
+		s.unsend(a.endpoint)
+	}
+	if q.once() && r.Outcome != dispatch.Refused {
+		q.giveUp(s, missingCode(r.Code))
+		return
+	}
 	switch {
 	case r.Code == result.SnapshotGone || r.Code == result.RangeNotHeld:
 		s.gone = addOnce(s.gone, r.Endpoint)
@@ -199,7 +208,7 @@
 		q.giveUp(s, result.MissingQuarantined)
 		return
 	}
-	if s.retries >= q.p.Service.Retry.Max && !q.patient() {
+	if s.retries >= q.p.Service.Retry.Max && !q.patient() && !q.paced() {
 		q.giveUp(s, missingCode(s.reason))
 		return
 	}
@@ -237,7 +246,7 @@
 		return
 	}
 	free := freeRetry(s.reason) || untried && unavailable(s.reason)
-	if !free && !q.p.Budgets.TakeRetry() {
+	if !free && !q.p.Budgets.TakeRetry(i) {
 		q.event(EventRetryDenied, s.reason)
 		s.retryAt = now + q.nextBackoff(s)
 		return
@@ -247,16 +256,37 @@
 	q.send(now, i, endpoint)
 }
 
+// message returns the message that is forwarded, or nil for a search.
+func (q *Query) message() *dispatch.Message {
+	if q.p.Forward == nil {
+		return nil
+	}
+	return q.p.Forward.Message
+}
+
+// paced reports whether retries are paced by backoff and not by number.
+func (q *Query) paced() bool { return q.p.Forward != nil && q.p.Forward.Paced }
+
 // pickRetry prefers a replica that was not tried yet, and tells whether it is one.
 func (q *Query) pickRetry(now time.Duration, s *shard) (endpoint string, untried, ok bool) {
-	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(s.gone, s.tried)); ok {
+	candidates := q.candidates(s)
+	if endpoint, ok := q.p.Replicas.Pick(now, candidates, slices.Concat(s.gone, s.tried)); ok {
 		return endpoint, true, true
 	}
 	s.tried = s.tried[:0]
-	endpoint, ok = q.p.Replicas.Pick(now, s.replicas, s.gone)
+	endpoint, ok = q.p.Replicas.Pick(now, candidates, s.gone)
 	return endpoint, false, ok
 }
 
+// candidates returns the replicas that a further attempt at a shard may go to:
+// those that the message was sent to, once there are as many as it allows.
+func (q *Query) candidates(s *shard) []string {
+	if f := q.p.Forward; f != nil && f.MaxReplicas > 0 && len(s.sent) >= f.MaxReplicas {
+		return s.sent
+	}
+	return s.replicas
+}
+
 // tickShard sends what is due of one shard. A shard that waits for its retry has
 // no attempt to hedge.
 func (q *Query) tickShard(now time.Duration, i int) {
@@ -282,7 +312,7 @@
 	if !ok {
 		return
 	}
-	if !q.p.Budgets.TakeHedge() {
+	if !q.p.Budgets.TakeHedge(i) {
 		q.event(EventHedgeDenied, 0)
 		s.hedgeAt = now + q.p.Replicas.HedgeDelay(q.p.Service)
 		return
@@ -297,16 +327,17 @@
 // connection: a single slow attempt says little about the endpoint.
 func (q *Query) pickHedge(now time.Duration, s *shard) (string, bool) {
 	busy := slices.Concat(s.gone, s.busy())
-	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, slices.Concat(busy, s.tried)); ok {
+	candidates := q.candidates(s)
+	if endpoint, ok := q.p.Replicas.Pick(now, candidates, slices.Concat(busy, s.tried)); ok {
 		return endpoint, true
 	}
-	if endpoint, ok := q.p.Replicas.Pick(now, s.replicas, busy); ok {
+	if endpoint, ok := q.p.Replicas.Pick(now, candidates, busy); ok {
 		return endpoint, true
 	}
 	if len(s.open) < 2 {
 		return "", false
 	}
-	return q.p.Replicas.Pick(now, s.replicas, s.gone)
+	return q.p.Replicas.Pick(now, candidates, s.gone)
 }
 
 func (q *Query) cancelAttempts(s *shard) {
--- a/internal/query/budget_test.go
+++ b/internal/query/budget_test.go
@@ -18,7 +18,7 @@
 	denied int
 }
 
-func (r *refill) TakeHedge() bool {
+func (r *refill) TakeHedge(int) bool {
 	if r.now >= r.after {
 		return true
 	}
@@ -26,7 +26,7 @@
 	return false
 }
 
-func (r *refill) TakeRetry() bool { return r.now >= r.after }
+func (r *refill) TakeRetry(int) bool { return r.now >= r.after }
 
 // run is bench.run with these budgets.
 func (r *refill) run() *query.Answer {
--- a/internal/query/fault_test.go
+++ b/internal/query/fault_test.go
@@ -108,9 +108,9 @@
 }
 
 func (b *bench) HedgeDelay(*config.Service) time.Duration { return 5 * time.Millisecond }
-func (b *bench) Primary()                                 {}
-func (b *bench) TakeHedge() bool                          { return true }
-func (b *bench) TakeRetry() bool                          { return true }
+func (b *bench) Primary(int)                              {}
+func (b *bench) TakeHedge(int) bool                       { return true }
+func (b *bench) TakeRetry(int) bool                       { return true }
 
 // index gives each shard three replicas, each endpoint first for some shards,
 // and an older snapshot with other shards.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -23,12 +23,12 @@
 
 // Budgets bounds extra dispatches of a service over all its queries.
 type Budgets interface {
-	// Primary counts a primary dispatch.
-	Primary()
-	// TakeHedge reports whether a hedge may be sent, and counts it.
-	TakeHedge() bool
-	// TakeRetry reports whether a retry may be sent, and counts it.
-	TakeRetry() bool
+	// Primary counts a primary dispatch of the shard at a position.
+	Primary(shard int)
+	// TakeHedge reports whether a hedge of the shard may be sent, and counts it.
+	TakeHedge(shard int) bool
+	// TakeRetry reports whether a retry of the shard may be sent, and counts it.
+	TakeRetry(shard int) bool
 }
 
 // Params are the inputs of a query.
@@ -47,9 +47,25 @@
 	Deadline time.Duration
 	// Suspicion is what is known of the request when it starts.
 	Suspicion view.Suspicion
-	Replicas  Replicas
-	Budgets   Budgets
-	Rand      *rand.Rand
+	// Forward is how the query treats a forwarded message; nil for a search.
+	Forward  *Forward
+	Replicas Replicas
+	Budgets  Budgets
+	Rand     *rand.Rand
+}
+
+// Forward are the rules of a message that is forwarded to the endpoints.
+type Forward struct {
+	Message *dispatch.Message
+	// MaxReplicas bounds the replicas of one shard that the message is sent to;
+	// zero means no bound.
+	MaxReplicas int
+	// LeastCovered is the fewest shards of a useful answer. The query ends as
+	// soon as it cannot be reached.
+	LeastCovered int
+	// Paced tells that retries without an untried replica wait out a backoff
+	// and are not limited in number.
+	Paced bool
 }
 
 // Actions are the outputs of one step.
@@ -102,6 +118,13 @@
 	Truncated bool
 	// Dispatched counts the attempts of the query.
 	Dispatched int
+	// MayHaveRun tells that an endpoint may have run the request.
+	MayHaveRun bool
+	// Responses are the endpoints' responses to a forwarded message, by shard.
+	Responses []*dispatch.Response
+	// Failure is the last response of an endpoint that ran the forwarded message
+	// and failed.
+	Failure *dispatch.Response
 }
 
 // Missing is a range that the answer does not cover, and why.
@@ -147,6 +170,7 @@
 	held      bool
 	truncated bool
 	done      bool
+	failure   *dispatch.Response
 	out       Actions
 }
 
@@ -194,6 +218,9 @@
 	if r.Outcome != dispatch.Refused {
 		q.mayHaveRun = true
 	}
+	if r.Outcome == dispatch.Failed && r.Response != nil {
+		q.failure = r.Response
+	}
 	if r.Outcome == dispatch.OK && !q.valid(s, &r) {
 		q.event(EventWrongSnapshot, r.Code)
 		r.Outcome, r.Code = dispatch.Failed, result.BadReply
@@ -247,12 +274,23 @@
 
 // target returns when the query is answered with what has arrived.
 func (q *Query) target() time.Duration {
-	if q.p.Service.Preference != config.PreferLatency || q.covered == 0 {
+	if q.p.Service.Preference != config.PreferLatency || q.covered < q.leastCovered() {
 		return q.p.Deadline
 	}
 	return q.started + q.p.Service.LatencyTarget()
 }
 
+// leastCovered returns the fewest shards of a useful answer.
+func (q *Query) leastCovered() int {
+	if q.p.Forward == nil {
+		return 1
+	}
+	return max(q.p.Forward.LeastCovered, 1)
+}
+
+// once reports whether the request runs at most once.
+func (q *Query) once() bool { return q.p.Forward != nil && q.p.Forward.Message.Once }
+
 // valid reports whether a good reply is from the pinned snapshot and from
 // inside the shard's range.
 func (q *Query) valid(s *shard, r *dispatch.Reply) bool {
@@ -270,6 +308,7 @@
 func (q *Query) cover(now time.Duration, s *shard, a attempt, r *dispatch.Reply) {
 	s.state = shardCovered
 	s.hits = r.Hits
+	s.response = r.Response
 	q.truncated = q.truncated || r.Truncated
 	q.pending--
 	q.covered++
--- a/internal/query/shard.go
+++ b/internal/query/shard.go
@@ -31,11 +31,14 @@
 	replicas []string
 	state    shardState
 	hits     []dispatch.Hit
+	response *dispatch.Response
 	open     []attempt
 	// tried are the endpoints that ended an attempt without a good reply.
 	tried []string
 	// gone are the endpoints that do not hold the snapshot or the range.
-	gone    []string
+	gone []string
+	// sent are the endpoints that a forwarded message was sent to.
+	sent    []string
 	hedges  int
 	retries int
 	// hedgeAt is when the next hedge is due; zero means never.
@@ -89,6 +92,13 @@
 	return len(s.gone) > 0
 }
 
+// unsend forgets an endpoint that the message did not reach.
+func (s *shard) unsend(endpoint string) {
+	if i := slices.Index(s.sent, endpoint); i >= 0 {
+		s.sent = slices.Delete(s.sent, i, i+1)
+	}
+}
+
 func addOnce(list []string, v string) []string {
 	if slices.Contains(list, v) {
 		return list
