--- /dev/null
+++ b/cmd/gypsumlug-gateway/main.go
@@ -0,0 +1,93 @@
+// Command gypsumlug-gateway is the daemon of an entry host on the users'
+// platform. It links only what serving needs, since memory is priced there.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/gypsumlug/gypsumlug/internal/entryhost"
+	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+	"github.com/gypsumlug/gypsumlug/internal/version"
+)
+
+// Exit statuses.
+const (
+	exitFault = 1
+	exitUsage = 2
+)
+
+// gcPercent trades processor time, which is cheap here, for memory.
+const gcPercent = 40
+
+type cli struct {
+	Settings string     `env:"GYPSUMLUG_SETTINGS" type:"path" help:"Path of the settings file."`
+	LogLevel string     `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines."`
+	Run      runCmd     `cmd:"" default:"withargs" help:"Serve until SIGTERM or SIGINT."`
+	Check    checkCmd   `cmd:"" help:"Check the settings file and exit."`
+	Version  versionCmd `cmd:"" help:"Print the version."`
+}
+
+type (
+	runCmd     struct{}
+	checkCmd   struct{}
+	versionCmd struct{}
+)
+
+// Run implements the command.
+func (runCmd) Run(c *cli) error {
+	debug.SetGCPercent(gcPercent)
+	s, err := entryhost.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	host, err := entryhost.New(s, telemetry.NewLogger(os.Stdout, c.LogLevel))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+		<-signals
+		os.Exit(exitFault)
+	}()
+	return host.Run(stop)
+}
+
+// Run implements the command.
+func (checkCmd) Run(c *cli) error {
+	_, err := entryhost.LoadSettings(c.Settings)
+	return err
+}
+
+// Run implements the command.
+func (versionCmd) Run() error {
+	fmt.Println(version.String())
+	return nil
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("gypsumlug-gateway"), kong.Description("Entry host daemon on the users' platform."), kong.UsageOnError())
+	context, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fail(err, exitUsage)
+	}
+	if err := context.Run(&c); err != nil {
+		fail(err, exitFault)
+	}
+}
+
+func fail(err error, status int) {
+	fmt.Fprintln(os.Stderr, "gypsumlug-gateway:", err)
+	os.Exit(status)
+}
--- /dev/null
+++ b/internal/forward/conn.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// verdict tells what becomes of a connection after an attempt.
+type verdict uint8
+
+const (
+	keep verdict = iota
+	discard
+	// unwritten means that no byte was written: the attempt may be carried by
+	// another connection.
+	unwritten
+)
+
+// errTooLarge ends the reading of a response that is over the bound.
+var errTooLarge = errors.New("response over the size limit")
+
+// idleReserve is how long before the end of the replica's idle timeout a
+// connection is no longer used.
+const idleReserve = 300 * time.Millisecond
+
+// conn is one connection to a replica.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	request   []byte
+	idleSince time.Time
+	// idleLimit is the replica's idle timeout, or zero if it is unknown.
+	idleLimit time.Duration
+}
+
+func newConn(raw net.Conn) *conn {
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(raw)
+	return &conn{Conn: raw, reader: r, idleSince: time.Now()}
+}
+
+func (c *conn) close() {
+	_ = c.Close()
+	if c.reader != nil {
+		c.reader.Reset(nil)
+		readers.Put(c.reader)
+		c.reader = nil
+	}
+}
+
+// usable reports whether an idle connection is open, quiet and young enough. A
+// request is not written to a connection that the replica has closed or whose
+// responses are out of step.
+func (c *conn) usable(now time.Time) bool {
+	if c.idleLimit > 0 && now.Sub(c.idleSince) > c.idleLimit-idleReserve {
+		return false
+	}
+	return c.reader.Buffered() == 0 && c.quiet()
+}
+
+func (c *conn) quiet() bool {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// exchange writes the attempt once and reads its response.
+func (c *conn) exchange(j *job, d Dialect) (dispatch.Reply, verdict) {
+	left := time.Until(j.deadline)
+	if left <= 0 {
+		return j.req.Refuse(result.ExpiredBeforeSend), keep
+	}
+	if !j.wasCancelled() {
+		_ = c.SetDeadline(j.deadline)
+	}
+	c.request = d.Encode(c.request[:0], &j.req, left)
+	n, err := c.Write(c.request)
+	if err != nil {
+		if n == 0 && !errors.Is(err, syscall.EAGAIN) && time.Now().Before(j.deadline) && !j.wasCancelled() {
+			return dispatch.Reply{}, unwritten
+		}
+		return c.lost(j), discard
+	}
+	return c.read(j, d)
+}
+
+// read reads responses until the one to the attempt.
+func (c *conn) read(j *job, d Dialect) (dispatch.Reply, verdict) {
+	after := keep
+	for range maxStray {
+		head, body, err := c.response()
+		if err != nil {
+			return c.lost(j), discard
+		}
+		c.learnIdle(head)
+		if head.Close {
+			after = discard
+		}
+		reply, own := d.Decode(&j.req, head, body)
+		if own {
+			if c.reader.Buffered() > 0 {
+				after = discard
+			}
+			return reply, after
+		}
+		after = discard
+	}
+	return c.lost(j), discard
+}
+
+// response reads one whole response.
+func (c *conn) response() (*http.Response, []byte, error) {
+	for {
+		head, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			return nil, nil, err
+		}
+		body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
+		_ = head.Body.Close()
+		if err != nil {
+			return nil, nil, err
+		}
+		if len(body) > maxResponseBytes {
+			return nil, nil, errTooLarge
+		}
+		if head.StatusCode >= http.StatusOK {
+			return head, body, nil
+		}
+	}
+}
+
+// lost returns the reply to an attempt that was written and got no response.
+func (c *conn) lost(j *job) dispatch.Reply {
+	if j.wasCancelled() {
+		return j.req.Lose(result.Cancelled)
+	}
+	return j.req.Lose(result.OutcomeUnknown)
+}
+
+// learnIdle notes the idle timeout that the replica states.
+func (c *conn) learnIdle(head *http.Response) {
+	for _, field := range strings.Split(head.Header.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			c.idleLimit = time.Duration(seconds) * time.Second
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,161 @@
+// Package forward carries forwarded messages to replicas over HTTP/1.1 and
+// reports exactly what is known of each.
+//
+// A message is written at most once, on one connection that carries nothing else
+// meanwhile. The reply tells whether a byte was written: without one the message
+// provably did not run. How requests are written and replies are read is the
+// [Dialect]'s business.
+package forward
+
+import (
+	"bufio"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dial"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+// Dialect writes requests and reads responses as the replicas speak.
+type Dialect interface {
+	// Encode appends the request to buf. left is the time that the replica has.
+	Encode(buf []byte, req *dispatch.Request, left time.Duration) []byte
+	// Decode judges a response. It reports false if the response belongs to
+	// another request.
+	Decode(req *dispatch.Request, head *http.Response, body []byte) (dispatch.Reply, bool)
+}
+
+// Timing of connections.
+const (
+	dialTimeout = 600 * time.Millisecond
+	// cancelGrace is how long a cancelled attempt may still take to reply, so
+	// that its connection can be kept.
+	cancelGrace = 150 * time.Millisecond
+	// maxStray bounds the responses to other requests that are skipped.
+	maxStray = 3
+	// readBuffer is the size of a connection's read buffer, in bytes.
+	readBuffer = 2 << 10
+	// maxResponseBytes bounds a response's body.
+	maxResponseBytes = 4 << 20
+	// dialsPerAttempt bounds the connections that an attempt tries before a byte
+	// is written.
+	dialsPerAttempt = 2
+)
+
+// Target is a replica and this host's share of its connections.
+type Target struct {
+	Key            string
+	Address        string
+	MaxConnections int
+}
+
+// Observer is told of connections.
+type Observer interface {
+	// Opened is called with the outcome of each dial.
+	Opened(endpoint string, err error)
+}
+
+// Client holds the connections of one host to its replicas. It is safe for
+// concurrent use.
+type Client struct {
+	dialect  Dialect
+	dial     dial.Func
+	observer Observer
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	jobs  map[dispatch.Key]*job
+}
+
+// New returns a client without targets.
+func New(dialect Dialect, open dial.Func, observer Observer) *Client {
+	return &Client{
+		dialect:  dialect,
+		dial:     open,
+		observer: observer,
+		pools:    make(map[string]*pool),
+		jobs:     make(map[dispatch.Key]*job),
+	}
+}
+
+// SetTargets replaces the replicas. Connections to those that are gone close as
+// they become idle.
+func (c *Client) SetTargets(targets []Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	named := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		named[t.Key] = true
+		p := c.pools[t.Key]
+		if p == nil {
+			p = newPool(c, t)
+			c.pools[t.Key] = p
+		}
+		p.setMax(t.MaxConnections)
+	}
+	for key, p := range c.pools {
+		if !named[key] {
+			delete(c.pools, key)
+			p.remove()
+		}
+	}
+}
+
+// Warm opens a first connection to each target that has none, and waits until
+// each is open or failed.
+func (c *Client) Warm() {
+	var wg sync.WaitGroup
+	for _, p := range c.currentPools() {
+		wg.Go(p.warm)
+	}
+	wg.Wait()
+}
+
+// Send carries an attempt to its replica and calls done exactly once, from
+// another goroutine.
+func (c *Client) Send(req dispatch.Request, done func(dispatch.Reply)) {
+	j := newJob(req)
+	c.mu.Lock()
+	p := c.pools[req.Endpoint]
+	if p != nil {
+		c.jobs[req.Key] = j
+	}
+	c.mu.Unlock()
+	if p == nil {
+		go done(req.Refuse(result.UnknownEndpoint))
+		return
+	}
+	go func() {
+		reply := p.carry(j)
+		c.mu.Lock()
+		delete(c.jobs, req.Key)
+		c.mu.Unlock()
+		done(reply)
+	}()
+}
+
+// Cancel withdraws an attempt. One that was not written is refused; the
+// connection of one that was is closed unless the reply comes soon.
+func (c *Client) Cancel(key dispatch.Key) {
+	c.mu.Lock()
+	j := c.jobs[key]
+	c.mu.Unlock()
+	if j != nil {
+		j.cancel()
+	}
+}
+
+func (c *Client) currentPools() []*pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pools := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	return pools
+}
+
+// readers are the read buffers of closed connections.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/balance"
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+const (
+	// hedgeQuantile is the share of attempts that reply before a hedge is sent.
+	hedgeQuantile = 0.92
+	// hedgeBegin is the part of the latency target after which a hedge is sent
+	// while the latencies are not known.
+	hedgeBegin = 4
+	// Bounds of the hedge delay as divisors of the latency target.
+	hedgeLeast = 12
+	hedgeMost  = 3
+)
+
+// beliefs are what all requests of a host share.
+//
+// Concurrency: mu guards every field.
+type beliefs struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	table     *balance.Table
+	allowance balance.Allowance
+	hosts     int
+	budgets   map[string]*balance.Budget
+	hedges    map[string]*balance.Quantile
+}
+
+func newBeliefs(dataCentre string, a balance.Allowance, rng *rand.Rand) *beliefs {
+	return &beliefs{
+		rng:       rng,
+		table:     balance.NewTable(dataCentre),
+		allowance: a,
+		hosts:     1,
+		budgets:   make(map[string]*balance.Budget),
+		hedges:    make(map[string]*balance.Quantile),
+	}
+}
+
+func (b *beliefs) setView(v *routing.View, hosts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.SetReplicas(v.Replicas)
+	if hosts == b.hosts {
+		return
+	}
+	b.hosts = hosts
+	for _, budget := range b.budgets {
+		budget.Resize(b.allowance, hosts)
+	}
+}
+
+func (b *beliefs) random() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rng.Float64()
+}
+
+// budget returns the budget of a service; the caller holds mu.
+func (b *beliefs) budget(service string) *balance.Budget {
+	budget := b.budgets[service]
+	if budget == nil {
+		budget = balance.NewBudget(b.allowance, b.hosts)
+		b.budgets[service] = budget
+	}
+	return budget
+}
+
+// sent notes an attempt.
+func (b *beliefs) sent(now time.Duration, route, key string) *balance.Attempt {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Sent(now, route, key)
+}
+
+// ended notes the reply to an attempt that took a time.
+func (b *beliefs) ended(now time.Duration, route string, a *balance.Attempt, reply *dispatch.Reply, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.Ended(now, a, reply)
+	if q := b.hedges[route]; q != nil && reply.Outcome == dispatch.OK {
+		q.Observe(took)
+	}
+}
+
+// requestBeliefs are the beliefs as one request's query machine sees them.
+type requestBeliefs struct {
+	*beliefs
+	route    *routing.Route
+	services []string
+}
+
+// Eligible implements query.Replicas.
+func (r requestBeliefs) Eligible(_ time.Duration, key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Known(key)
+}
+
+// Pick implements query.Replicas.
+func (r requestBeliefs) Pick(now time.Duration, candidates, exclude []string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	excluded := func(key string) bool { return slices.Contains(exclude, key) }
+	return r.table.Pick(now, r.route.Name, candidates, excluded, r.rng)
+}
+
+// HedgeDelay implements query.Replicas.
+func (r requestBeliefs) HedgeDelay(*config.Service) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.hedges[r.route.Name]
+	if q == nil {
+		q = balance.NewQuantile(hedgeQuantile, r.route.Target/hedgeBegin)
+		r.hedges[r.route.Name] = q
+	}
+	return min(max(q.Value(), r.route.Target/hedgeLeast), r.route.Target/hedgeMost)
+}
+
+// Primary implements query.Budgets.
+func (r requestBeliefs) Primary(shard int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(r.services[shard]).Primary()
+}
+
+// TakeHedge implements query.Budgets.
+func (r requestBeliefs) TakeHedge(shard int) bool { return r.take(shard) }
+
+// TakeRetry implements query.Budgets.
+func (r requestBeliefs) TakeRetry(shard int) bool { return r.take(shard) }
+
+func (r requestBeliefs) take(shard int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(r.services[shard]).Take()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,163 @@
+// Package gateway serves callers' HTTP requests by the routes in force.
+//
+// Each request is driven by the goroutine that took it: it steps a query machine
+// with the replies to its attempts and the passing of time. The beliefs about
+// replicas and the budgets of extra attempts are shared by all requests under
+// one mutex that is never held over I/O. A request keeps the view that it began
+// with, so that the parts of its answer come from one version of the
+// configuration.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/balance"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+// Sender carries attempts to replicas.
+type Sender interface {
+	// Send calls done exactly once, from another goroutine.
+	Send(req dispatch.Request, done func(dispatch.Reply))
+	// Cancel withdraws an attempt; it still gets its reply.
+	Cancel(key dispatch.Key)
+}
+
+// Recorder is told of the ends of requests and of attempts.
+type Recorder interface {
+	Answered(e Ended)
+	Attempt(code result.Code)
+	Event(e query.Event)
+}
+
+// Ended describes an answered request.
+type Ended struct {
+	RequestID string
+	Route     string
+	Code      result.Code
+	Took      time.Duration
+	Left      time.Duration
+	Shards    int
+	Covered   int
+	Attempts  int
+	Version   uint64
+	// ViewAge is the age of the replicas that the request was served with.
+	ViewAge time.Duration
+	Missing []query.Missing
+}
+
+// Request is a caller's request.
+type Request struct {
+	Message dispatch.Message
+	// Path selects the route; it has no query part.
+	Path string
+	// Patience is how long the caller waits; zero if the caller does not say.
+	Patience time.Duration
+}
+
+// Answer is what the caller is told. Exactly one of Response and Parts is set
+// when the request succeeded.
+type Answer struct {
+	Code result.Code
+	// Response is the replica's response, which may be a failure.
+	Response *dispatch.Response
+	// Parts are the responses of the shards, Missing the number of shards
+	// without one, and Records the merged records.
+	Parts   []*dispatch.Response
+	Missing int
+	Records []byte
+	// RetryAfter is when a request that did not run is worth sending again.
+	RetryAfter time.Duration
+}
+
+// Config are the fixed inputs of a gateway.
+type Config struct {
+	DataCentre string
+	// Incarnation tells this process's requests from those of others.
+	Incarnation uint64
+	Allowance   balance.Allowance
+	// Now is the monotonic time since the start of the process.
+	Now      func() time.Duration
+	Sender   Sender
+	Recorder Recorder
+}
+
+// Gateway serves requests. It is safe for concurrent use.
+type Gateway struct {
+	cfg      Config
+	view     atomic.Pointer[routing.View]
+	beliefs  *beliefs
+	sequence atomic.Uint64
+	running  atomic.Int64
+}
+
+// New returns a gateway that refuses every request until SetView.
+func New(cfg Config, rng *rand.Rand) *Gateway {
+	return &Gateway{cfg: cfg, beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, rng)}
+}
+
+// SetView replaces the view. Requests in progress keep the one that they began
+// with. hosts is the number of hosts that share the allowance.
+func (g *Gateway) SetView(v *routing.View, hosts int) {
+	g.beliefs.setView(v, hosts)
+	g.view.Store(v)
+}
+
+// View returns the view in force, or nil.
+func (g *Gateway) View() *routing.View { return g.view.Load() }
+
+// Running returns the number of requests in progress.
+func (g *Gateway) Running() int { return int(g.running.Load()) }
+
+// Serve answers a request. It returns early if ctx ends because the caller left.
+func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	v := g.view.Load()
+	if v == nil || v.Config == nil {
+		return g.refuse(r, nil, result.NotReady)
+	}
+	route := v.Config.Match(r.Message.Host, r.Path)
+	if route == nil {
+		return g.refuse(r, nil, result.NotFound)
+	}
+	r.Message.Once = !route.Repeatable
+	service := ""
+	if len(route.Shards) == 0 {
+		service = route.Choose(g.beliefs.random())
+	}
+	plan := v.Plan(route, service)
+	if plan == nil {
+		return g.refuse(r, route, result.NoReplica)
+	}
+	run := g.newRun(r, v, route, plan)
+	return run.serve(ctx)
+}
+
+func (g *Gateway) refuse(r *Request, route *routing.Route, code result.Code) Answer {
+	e := Ended{RequestID: r.Message.ID, Code: code}
+	if route != nil {
+		e.Route = route.Name
+	}
+	g.cfg.Recorder.Answered(e)
+	return Answer{Code: code, RetryAfter: retryAfter(r.Patience)}
+}
+
+// Bounds of the time after which a caller is told to come back.
+const (
+	minRetryAfter     = 50 * time.Millisecond
+	maxRetryAfter     = time.Second
+	retryAfterDivisor = 8
+)
+
+// retryAfter returns when a request that did not run is worth sending again: a
+// part of the time that its caller has.
+func retryAfter(patience time.Duration) time.Duration {
+	return min(max(patience/retryAfterDivisor, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+const (
+	// replyReserve is the part of a request's time that is kept for the way back
+	// of its answer, as a divisor, and maxReplyReserve bounds it.
+	replyReserve    = 20
+	maxReplyReserve = 50 * time.Millisecond
+	// repliesPerShard is the room for replies that are not read yet.
+	repliesPerShard = 3
+)
+
+// run is a request in progress. It belongs to the goroutine that serves it.
+type run struct {
+	g       *Gateway
+	request *Request
+	view    *routing.View
+	route   *routing.Route
+	id      string
+	started time.Duration
+	left    time.Duration
+	query   *query.Query
+	replies chan dispatch.Reply
+	// over is closed when the request is answered, and no reply is read.
+	over chan struct{}
+}
+
+func (g *Gateway) newRun(r *Request, v *routing.View, route *routing.Route, plan *routing.Plan) *run {
+	now := g.cfg.Now()
+	left := patience(r.Patience, route.Timeout)
+	run := &run{
+		g:       g,
+		request: r,
+		view:    v,
+		route:   route,
+		id:      fmt.Sprintf("%x-%x", g.cfg.Incarnation, g.sequence.Add(1)),
+		started: now,
+		left:    left,
+		replies: make(chan dispatch.Reply, repliesPerShard*len(plan.Services)),
+		over:    make(chan struct{}),
+	}
+	shared := requestBeliefs{beliefs: g.beliefs, route: route, services: plan.Services}
+	run.query = query.New(query.Params{
+		ID:      run.id,
+		Service: plan.Service,
+		Index:   plan.Index,
+		Forward: &query.Forward{
+			Message:      &r.Message,
+			MaxReplicas:  route.MaxReplicas,
+			LeastCovered: max(route.LeastShards, 1),
+			Paced:        len(route.Shards) > 0,
+		},
+		Deadline: now + left,
+		Replicas: shared,
+		Budgets:  shared,
+		Rand:     rand.New(rand.NewPCG(g.cfg.Incarnation, uint64(now))),
+	})
+	return run
+}
+
+// patience returns the time for an answer: the lesser of what the caller and the
+// route allow, less the time for its way back.
+func patience(caller, timeout time.Duration) time.Duration {
+	left := timeout
+	if caller > 0 {
+		left = min(left, caller)
+	}
+	return left - min(left/replyReserve, maxReplyReserve)
+}
+
+// serve drives the query machine to its answer.
+func (r *run) serve(ctx context.Context) Answer {
+	defer close(r.over)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	answer := r.apply(r.query.Start(r.started))
+	for answer == nil {
+		timer.Reset(r.query.Next() - r.g.cfg.Now())
+		select {
+		case reply := <-r.replies:
+			answer = r.apply(r.query.Reply(r.g.cfg.Now(), reply))
+		case <-timer.C:
+			answer = r.apply(r.query.Tick(r.g.cfg.Now()))
+		case <-ctx.Done():
+			return r.hangup()
+		}
+	}
+	return r.finish(answer)
+}
+
+// hangup ends the request of a caller that left.
+func (r *run) hangup() Answer {
+	if !r.request.Message.Once {
+		r.apply(r.query.Hangup())
+	}
+	r.record(result.CallerGone, &query.Answer{})
+	return Answer{Code: result.CallerGone}
+}
+
+// apply carries out the actions of the query machine and returns its answer.
+func (r *run) apply(a query.Actions) *query.Answer {
+	for _, req := range a.Dispatch {
+		r.send(req)
+	}
+	for _, c := range a.Cancel {
+		r.g.cfg.Sender.Cancel(c.Key)
+	}
+	for _, e := range a.Events {
+		r.g.cfg.Recorder.Event(e)
+	}
+	return a.Answer
+}
+
+func (r *run) send(req dispatch.Request) {
+	sent := r.g.cfg.Now()
+	attempt := r.g.beliefs.sent(sent, r.route.Name, req.Endpoint)
+	r.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
+		now := r.g.cfg.Now()
+		r.g.beliefs.ended(now, r.route.Name, attempt, &reply, now-sent)
+		r.g.cfg.Recorder.Attempt(reply.Code)
+		select {
+		case r.replies <- reply:
+		case <-r.over:
+		}
+	})
+}
+
+// finish turns the query machine's answer into the caller's.
+func (r *run) finish(a *query.Answer) Answer {
+	out := r.answer(a)
+	r.record(out.Code, a)
+	return out
+}
+
+func (r *run) answer(a *query.Answer) Answer {
+	least := max(r.route.LeastShards, 1)
+	switch {
+	case a.Covered >= least && len(r.route.Shards) > 0:
+		return Answer{
+			Code:    a.Code,
+			Parts:   a.Responses,
+			Missing: a.Shards - a.Covered,
+			Records: query.MergeRecords(a.Responses, r.route.TopRecords),
+		}
+	case a.Covered >= least:
+		return Answer{Code: result.Complete, Response: a.Responses[0]}
+	case !a.MayHaveRun:
+		return Answer{Code: notRun(a), RetryAfter: retryAfter(r.left)}
+	case len(r.route.Shards) == 0 && a.Failure != nil:
+		return Answer{Code: result.EndpointFailed, Response: a.Failure}
+	default:
+		return Answer{Code: result.OutcomeUnknown}
+	}
+}
+
+// notRun returns why no endpoint ran the request.
+func notRun(a *query.Answer) result.Code {
+	if a.Code.Class() == result.ClassNotRun {
+		return a.Code
+	}
+	return result.AllRefused
+}
+
+func (r *run) record(code result.Code, a *query.Answer) {
+	now := r.g.cfg.Now()
+	r.g.cfg.Recorder.Answered(Ended{
+		RequestID: r.request.Message.ID,
+		Route:     r.route.Name,
+		Code:      code,
+		Took:      now - r.started,
+		Left:      r.left,
+		Shards:    a.Shards,
+		Covered:   a.Covered,
+		Attempts:  a.Dispatched,
+		Version:   r.view.Config.Version,
+		ViewAge:   now - r.view.Read,
+		Missing:   a.Missing,
+	})
+}
--- /dev/null
+++ b/internal/routing/view.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+)
+
+// Replica is one incarnation of a process that serves a service.
+type Replica struct {
+	// ID names the replica; it may be used again by a later incarnation.
+	ID string
+	// Born tells incarnations of one ID apart.
+	Born int64
+	// Service is the service that the replica serves.
+	Service string
+	// Address is its IP and port.
+	Address    string
+	DataCentre string
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Leaving replicas take no new requests.
+	Leaving bool
+	// ColdUntil is the monotonic time until which the replica is slow after its
+	// start.
+	ColdUntil time.Duration
+}
+
+// Key identifies the incarnation.
+func (r *Replica) Key() string { return fmt.Sprintf("%s@%d", r.ID, r.Born) }
+
+// Plan is how the query machine serves a route, or one part of a route.
+type Plan struct {
+	Service *config.Service
+	Index   *config.Index
+	// Services are the services of the shards, in the order of the index.
+	Services []string
+}
+
+// View is a configuration joined with the replicas that take requests.
+type View struct {
+	Config *Config
+	// Replicas holds the incarnations that take requests, by Key.
+	Replicas map[string]*Replica
+	// Read is the monotonic time at which the store said so.
+	Read time.Duration
+
+	byService map[string][]string
+	plans     map[string]*Plan
+}
+
+// Attempts of one shard beyond the first, when routes do not say.
+const defaultAttempts = 2
+
+// NewView joins a configuration with replicas. Leaving replicas are left out.
+func NewView(c *Config, replicas []*Replica, read time.Duration) *View {
+	v := &View{
+		Config:    c,
+		Replicas:  make(map[string]*Replica),
+		Read:      read,
+		byService: make(map[string][]string),
+		plans:     make(map[string]*Plan),
+	}
+	for _, r := range replicas {
+		if r.Leaving {
+			continue
+		}
+		key := r.Key()
+		v.Replicas[key] = r
+		v.byService[r.Service] = append(v.byService[r.Service], key)
+	}
+	for _, keys := range v.byService {
+		slices.Sort(keys)
+	}
+	if c != nil {
+		v.plan()
+	}
+	return v
+}
+
+func (v *View) plan() {
+	for i := range v.Config.Routes {
+		r := &v.Config.Routes[i]
+		if len(r.Shards) > 0 {
+			v.plans[planName(r, "")] = v.newPlan(r, r.Shards)
+			continue
+		}
+		for _, p := range r.Parts {
+			v.plans[planName(r, p.Service)] = v.newPlan(r, []string{p.Service})
+		}
+	}
+}
+
+func planName(r *Route, service string) string { return r.Name + "/" + service }
+
+func (v *View) newPlan(r *Route, services []string) *Plan {
+	s := &config.Service{
+		Name:            r.Name,
+		Preference:      config.PreferLatency,
+		Repeatable:      r.Repeatable,
+		LatencyTargetMS: int(r.Target.Milliseconds()),
+		DeadlineMS:      int(r.Timeout.Milliseconds()),
+		Retry:           config.Retry{Max: max(r.MaxReplicas, defaultAttempts) - 1},
+	}
+	if r.Repeatable {
+		s.Hedge = config.Hedge{Max: 1}
+	}
+	if len(r.Shards) == 0 {
+		s.Preference = config.PreferCoverage
+	}
+	snapshot := config.Snapshot{ID: v.Config.Version}
+	for i, name := range services {
+		snapshot.Shards = append(snapshot.Shards, config.Shard{
+			Range:    keyrange.Range{Start: keyrange.Key(i), End: keyrange.Key(i + 1)},
+			Replicas: v.byService[name],
+		})
+	}
+	return &Plan{
+		Service:  s,
+		Index:    &config.Index{Service: r.Name, Snapshots: []config.Snapshot{snapshot}},
+		Services: services,
+	}
+}
+
+// Plan returns the plan of a route; service is the part that was chosen, or
+// empty for a route with shards.
+func (v *View) Plan(r *Route, service string) *Plan { return v.plans[planName(r, service)] }
+
+// Of returns the keys of a service's replicas that take requests.
+func (v *View) Of(service string) []string { return v.byService[service] }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -97,3 +97,16 @@
 	c.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// Counters of the gateway.
+const (
+	Hedges        = "gypsumlug_hedges_total"
+	HedgesDenied  = "gypsumlug_hedges_denied_total"
+	RetriesDenied = "gypsumlug_retries_denied_total"
+	StrayReplies  = "gypsumlug_stray_replies_total"
+	Dials         = "gypsumlug_dials_total"
+	DialsFailed   = "gypsumlug_dials_failed_total"
+)
+
+// Inc counts one event of a counter.
+func (c *Counters) Inc(name string) { c.Counter(name).Inc() }
