Let a few hosts read the store for all

Ruled out: a watch over both prefixes that misses events; short watches either return what changed, hang or answer that the history is gone.

Change: one machine decides who reads. The first host by hash watches everything in calls of 0.7 s and tells the others by datagram that what they know is still true; they fetch what is new from a peer, and read themselves once nothing fresh came for a second or more.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,6 +12,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -30,10 +32,16 @@
 
 // Entry is what the store holds under the ID of one replica.
 type Entry struct {
-	ID       string
-	Revision uint64
+	ID       string `msgpack:"i"`
+	Revision uint64 `msgpack:"r"`
 	// Replica is nil if the entry was removed or cannot be read.
-	Replica *routing.Replica
+	Replica *routing.Replica `msgpack:"p"`
+	// LostFor is how much longer a lost entry is kept; zero for one that the
+	// store holds.
+	LostFor time.Duration `msgpack:"l"`
+	// ColdFor is how much longer the replica is slow, where Replica comes from
+	// another host, whose clock is another one.
+	ColdFor time.Duration `msgpack:"c"`
 }
 
 // record is what is known of one ID.
@@ -50,6 +58,8 @@
 	revision uint64
 	read     time.Duration
 	known    bool
+	// broken tells that the changes since revision can't be read.
+	broken bool
 }
 
 // New returns an empty catalog.
@@ -58,6 +68,19 @@
 // Known reports whether a whole listing was read.
 func (c *Catalog) Known() bool { return c.known }
 
+// Follow returns the revision whose changes are to be read next, or zero if a
+// whole listing is needed.
+func (c *Catalog) Follow() uint64 {
+	if c.broken || !c.known {
+		return 0
+	}
+	return c.revision
+}
+
+// Reset asks for a whole listing, since changes were missed. What is known stays
+// in use until it comes.
+func (c *Catalog) Reset() { c.broken = true }
+
 // Revision returns the store's revision that the catalog follows.
 func (c *Catalog) Revision() uint64 { return c.revision }
 
@@ -80,6 +103,7 @@
 		}
 	}
 	c.known = true
+	c.broken = false
 	return c.Apply(now, revision, entries)
 }
 
@@ -108,6 +132,9 @@
 			continue
 		}
 		r.lostUntil = 0
+		if e.LostFor > 0 {
+			r.lostUntil = now + e.LostFor
+		}
 		if r.replica == nil || !same(r.replica, e.Replica) {
 			r.replica = e.Replica
 			changed = true
@@ -156,6 +183,44 @@
 	return out
 }
 
+// Entries returns the catalog as a listing for another host.
+func (c *Catalog) Entries(now time.Duration) []Entry {
+	out := make([]Entry, 0, len(c.records))
+	for id, r := range c.records {
+		if r.replica == nil {
+			continue
+		}
+		e := Entry{ID: id, Revision: r.revision, Replica: r.replica, ColdFor: max(r.replica.ColdUntil-now, 0)}
+		if r.lostUntil > 0 {
+			e.LostFor = max(r.lostUntil-now, 1)
+		}
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Digest identifies what the store holds, so that hosts can compare it.
+func (c *Catalog) Digest() uint64 {
+	h := fnv.New64a()
+	for _, r := range c.Replicas() {
+		if c.records[r.ID].lostUntil > 0 {
+			continue
+		}
+		fmt.Fprintf(h, "%s|%d|%s|%s|%s|%d|%t\n", r.ID, r.Born, r.Service, r.Address, r.DataCentre, r.Slots, r.Leaving)
+	}
+	return h.Sum64()
+}
+
+// Fresh notes that the store still held the same at a later revision.
+func (c *Catalog) Fresh(revision uint64, read time.Duration) {
+	if revision > c.revision {
+		c.broken = false
+	}
+	c.revision = max(c.revision, revision)
+	c.read = max(c.read, read)
+}
+
 func (c *Catalog) present() int {
 	n := 0
 	for _, r := range c.records {
--- /dev/null
+++ b/internal/discovery/keeper.go
@@ -0,0 +1,181 @@
+// Package discovery keeps a host's view of the routes and replicas current with
+// the platform's store.
+//
+// A few hosts read the store for all. The others hear from them in heartbeats
+// that what they know is still true, and fetch what is new from a peer. A host
+// that has heard nothing fresh for a while reads the store itself. Hosts find
+// each other from a few seeds, which may be stale.
+//
+// [Machine] decides all of this without I/O. [Keeper] is the one goroutine that
+// steps it and carries out its actions.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/gypsumlug/gypsumlug/internal/catalog"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+// ErrHistoryGone tells that the store no longer has the changes since a revision.
+var ErrHistoryGone = errors.New("the store's history is gone")
+
+// Reading is an answer of the store.
+type Reading struct {
+	// Revision is the one whose changes are to be read next.
+	Revision uint64
+	// Config is nil if there is none, or none that is new.
+	Config  *routing.Config
+	Entries []catalog.Entry
+}
+
+// Store reads what the platform publishes.
+type Store interface {
+	// All reads everything.
+	All(ctx context.Context) (Reading, error)
+	// Changes waits for a change after a revision and returns all changes. It
+	// fails with ErrHistoryGone if the store no longer has them.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+}
+
+// Times after which calls are given up.
+const (
+	readTimeout  = 700 * time.Millisecond
+	fetchTimeout = 500 * time.Millisecond
+)
+
+// Options configure a Keeper.
+type Options struct {
+	// Self is the peer address, where the host listens with UDP and TCP.
+	Self  string
+	Start uint64
+	Store Store
+	// Now is a clock that counts suspension, since the start of the process.
+	Now func() time.Duration
+	// Publish takes each new view, with the number of hosts that share limits.
+	Publish func(v *routing.View, hosts int)
+	Log     zerolog.Logger
+}
+
+// Keeper steps the machine of one host. All its fields belong to the goroutine
+// of Run; other goroutines send it events.
+type Keeper struct {
+	opts    Options
+	machine *Machine
+	events  chan func(now time.Duration) Actions
+	socket  *net.UDPConn
+	view    *routing.View
+	hosts   int
+}
+
+// New returns a keeper; Run starts it.
+func New(opts Options, machine *Machine) *Keeper {
+	return &Keeper{opts: opts, machine: machine, events: make(chan func(time.Duration) Actions), hosts: 1}
+}
+
+// Run keeps the view current until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	if err := k.listen(ctx); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	k.carryOut(ctx, k.machine.Tick(k.opts.Now()))
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case step := <-k.events:
+			k.carryOut(ctx, step(k.opts.Now()))
+		case <-ticker.C:
+			k.carryOut(ctx, k.machine.Tick(k.opts.Now()))
+		}
+	}
+}
+
+// Leave announces that the host is stopping.
+func (k *Keeper) Leave(ctx context.Context) { k.send(ctx, k.machine.Leave) }
+
+// send hands an event to the goroutine of Run.
+func (k *Keeper) send(ctx context.Context, step func(time.Duration) Actions) {
+	select {
+	case k.events <- step:
+	case <-ctx.Done():
+	}
+}
+
+func (k *Keeper) carryOut(ctx context.Context, a Actions) {
+	for _, o := range a.Send {
+		k.sendHello(o)
+	}
+	if a.Read != nil {
+		go k.read(ctx, *a.Read)
+	}
+	if a.Fetch != "" {
+		go k.fetch(ctx, a.Fetch, a.FetchVersion)
+	}
+	k.logChanges(a.Changed)
+	k.publish(a)
+}
+
+func (k *Keeper) publish(a Actions) {
+	if a.Hosts > 0 {
+		k.hosts = a.Hosts
+	}
+	if a.View != nil {
+		k.view = a.View
+	}
+	if k.view != nil && (a.View != nil || a.Hosts > 0) {
+		k.opts.Publish(k.view, k.hosts)
+	}
+}
+
+func (k *Keeper) logChanges(changes []Change) {
+	for _, c := range changes {
+		line := k.opts.Log.Info()
+		if c.Source != "" {
+			line.Str("source", c.Source)
+		}
+		if c.Version > 0 {
+			line.Uint64("version", c.Version)
+		}
+		if c.Revision > 0 {
+			line.Uint64("revision", c.Revision)
+		}
+		if c.Replicas > 0 {
+			line.Int("replicas", c.Replicas)
+		}
+		if c.Hosts > 0 {
+			line.Int("hosts", c.Hosts)
+		}
+		line.Err(c.Err).Msg(string(c.Kind))
+	}
+}
+
+// read calls the store.
+func (k *Keeper) read(ctx context.Context, r Read) {
+	result := ReadResult{Read: r, Started: k.opts.Now()}
+	call, cancel := context.WithTimeout(ctx, r.Wait+readTimeout)
+	defer cancel()
+	var reading Reading
+	if r.After == 0 {
+		reading, result.Err = k.opts.Store.All(call)
+	} else {
+		reading, result.Err = k.opts.Store.Changes(call, r.After, r.Wait)
+	}
+	result.Config, result.Entries, result.Revision = reading.Config, reading.Entries, reading.Revision
+	k.send(ctx, func(now time.Duration) Actions { return k.machine.ReadDone(now, result) })
+}
+
+// fetch asks a peer for its state.
+func (k *Keeper) fetch(ctx context.Context, from string, version uint64) {
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	state, err := fetchState(call, from, version)
+	k.send(ctx, func(now time.Duration) Actions { return k.machine.Fetched(now, from, state, err) })
+}
--- /dev/null
+++ b/internal/discovery/message.go
@@ -0,0 +1,56 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/catalog"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+// FormatVersion is the format of the messages between hosts. Messages of another
+// version are ignored.
+const FormatVersion = 1
+
+// Hello is the heartbeat of a host, in one datagram.
+type Hello struct {
+	Format int `msgpack:"f"`
+	// From is the sender's peer address, and Start tells its incarnations apart.
+	From  string `msgpack:"a"`
+	Start uint64 `msgpack:"s"`
+	// Leaving tells that the sender is stopping.
+	Leaving bool `msgpack:"l"`
+	// Version is the configuration in force at the sender.
+	Version uint64 `msgpack:"v"`
+	// Revision and Digest say what the sender knows of the store, and Age how
+	// long ago the store confirmed it.
+	Revision uint64        `msgpack:"r"`
+	Digest   uint64        `msgpack:"d"`
+	Age      time.Duration `msgpack:"g"`
+	// Members are some hosts that the sender knows.
+	Members []Member `msgpack:"m"`
+}
+
+// Member is a host as another one knows it.
+type Member struct {
+	Address string `msgpack:"a"`
+	Start   uint64 `msgpack:"s"`
+	// Age is the time since the host was heard.
+	Age time.Duration `msgpack:"g"`
+}
+
+// StateRequest asks a host for what it knows.
+type StateRequest struct {
+	Format int `msgpack:"f"`
+	// Version is the configuration that the asking host has.
+	Version uint64 `msgpack:"v"`
+}
+
+// State is what a host knows of the store.
+type State struct {
+	Format   int           `msgpack:"f"`
+	Revision uint64        `msgpack:"r"`
+	Age      time.Duration `msgpack:"g"`
+	// Config is nil if the asking host has it.
+	Config  *routing.Config `msgpack:"c"`
+	Entries []catalog.Entry `msgpack:"e"`
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gypsumlug/gypsumlug/internal/balance"
+	"github.com/gypsumlug/gypsumlug/internal/boottime"
 	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/forward"
@@ -29,8 +30,8 @@
 )
 
 const (
-	// assumedHosts shares limits among hosts until the others are known.
-	assumedHosts = 16
+	// leastHosts is the number of hosts that share limits while fewer are known.
+	leastHosts = 8
 	// connectionShare is the part of a replica's connection cap that the hosts
 	// use together.
 	connectionShare = 0.9
@@ -49,22 +50,31 @@
 	log      zerolog.Logger
 	counters *telemetry.Counters
 	started  time.Time
-	gateway  *gateway.Gateway
-	client   *forward.Client
-	ready    atomic.Bool
-	stopping atomic.Bool
-	warmed   sync.Once
+	// incarnation tells this process from those before it on the host.
+	incarnation uint64
+	rng         *mathrand.Rand
+	gateway     *gateway.Gateway
+	client      *forward.Client
+	ready       atomic.Bool
+	stopping    atomic.Bool
+	warmed      sync.Once
 }
 
 // New returns a host that does not run yet.
 func New(s *Settings, log zerolog.Logger) (*Host, error) {
-	var seed [24]byte
+	var seed [32]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, eris.Wrap(err, "random seed")
 	}
 	incarnation := binary.LittleEndian.Uint64(seed[:])
-	rng := mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed[8:]), binary.LittleEndian.Uint64(seed[16:])))
-	h := &Host{settings: s, log: log, counters: telemetry.NewCounters(), started: time.Now()}
+	h := &Host{
+		settings:    s,
+		log:         log,
+		counters:    telemetry.NewCounters(),
+		started:     time.Now(),
+		incarnation: incarnation,
+		rng:         newRand(seed[8:]),
+	}
 	recorder := &recorder{log: log, counters: h.counters}
 	h.client = forward.New(platform.Dialect{}, dial.TCP, recorder)
 	h.gateway = gateway.New(gateway.Config{
@@ -74,10 +84,14 @@
 		Now:         h.now,
 		Sender:      h.client,
 		Recorder:    recorder,
-	}, rng)
+	}, newRand(seed[16:]))
 	return h, nil
 }
 
+func newRand(seed []byte) *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed), binary.LittleEndian.Uint64(seed[8:])))
+}
+
 // now returns the monotonic time since the start of the process.
 func (h *Host) now() time.Duration { return time.Since(h.started) }
 
@@ -99,18 +113,31 @@
 		MaxHeaderBytes:    32 << 10,
 	}
 	go func() { _ = server.Serve(callers) }()
-	keeper := discovery.New(discovery.Options{
-		Store:   platform.NewStore(h.settings.StoreAddress, h.now),
-		Now:     h.now,
-		Publish: h.publish,
-		Log:     h.log,
-	})
-	go keeper.Run(ctx)
+	keeper := h.newKeeper()
+	go func() {
+		if err := keeper.Run(ctx); err != nil {
+			h.log.Error().Err(err).Msg("peers not served")
+		}
+	}()
 	h.log.Info().Str("host", h.settings.Host).Str("data_centre", h.settings.DataCentre).Msg("started")
 	<-stop
+	keeper.Leave(ctx)
 	return h.drain(server)
 }
 
+func (h *Host) newKeeper() *discovery.Keeper {
+	now := boottime.Now
+	machine := discovery.NewMachine(h.settings.PeerAddress, h.incarnation, h.settings.Seeds, now(), h.rng)
+	return discovery.New(discovery.Options{
+		Self:    h.settings.PeerAddress,
+		Start:   h.incarnation,
+		Store:   platform.NewStore(h.settings.StoreAddress, now),
+		Now:     now,
+		Publish: h.publish,
+		Log:     h.log,
+	}, machine)
+}
+
 // serveInternal serves readiness and metrics.
 func (h *Host) serveInternal() error {
 	readiness, err := net.Listen("tcp", h.settings.ReadinessAddress)
@@ -133,9 +160,10 @@
 
 // publish puts a view in force. The first one makes the host ready, once it has
 // connections.
-func (h *Host) publish(v *routing.View) {
-	h.client.SetTargets(h.targets(v))
-	h.gateway.SetView(v, assumedHosts)
+func (h *Host) publish(v *routing.View, hosts int) {
+	hosts = max(hosts, leastHosts)
+	h.client.SetTargets(targets(v, hosts))
+	h.gateway.SetView(v, hosts)
 	h.warmed.Do(func() { go h.warm() })
 }
 
@@ -153,14 +181,14 @@
 	h.log.Info().Dur("after_ms", h.now()).Msg("ready")
 }
 
-func (h *Host) targets(v *routing.View) []forward.Target {
+func targets(v *routing.View, hosts int) []forward.Target {
 	targets := make([]forward.Target, 0, len(v.Replicas))
 	for key, r := range v.Replicas {
 		limit := v.Config.Services[r.Service].MaxConnections
 		targets = append(targets, forward.Target{
 			Key:            key,
 			Address:        r.Address,
-			MaxConnections: max(int(float64(limit)*connectionShare/assumedHosts), 2),
+			MaxConnections: max(int(float64(limit)*connectionShare/float64(hosts)), 2),
 		})
 	}
 	return targets
