Answer early enough to reach the caller in time

Cause: answers were cut at 85% of the latency target from the arrival of the request; a caller on a new connection has by then waited two round trips, so that 12% of Muscat's quick lookups came a few milliseconds late. Replicas that appeared after the start had no warm connection.

Change: the time for the way to and from the caller is kept back, twice as long on a new connection; first connections open within 0.5 s of a replica's appearance; hedges go out at the 87th percentile instead of the 92nd.

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -17,6 +17,9 @@
 	TickInterval = 100 * time.Millisecond
 	// readWait is how long a read of changes waits in the store for one.
 	readWait = 700 * time.Millisecond
+	// readPause is the time between two reads of the first host, in which changes
+	// gather.
+	readPause = 120 * time.Millisecond
 	// staleAfter is the age of what a host knows from which it reads itself,
 	// later by staleStep for each host before it in the order, up to
 	// maxStaleWait.
@@ -256,7 +259,7 @@
 		m.changed(Change{Kind: ChangeStoreBack, Source: sourceStore})
 	}
 	m.failures = 0
-	m.readAt = now
+	m.readAt = now + readPause
 	changed := m.takeConfig(r.Config, sourceStore)
 	if r.Read.After == 0 {
 		changed = m.catalog.List(now, r.Revision, r.Entries) || changed
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -40,8 +40,8 @@
 	balancerLag = 2500 * time.Millisecond
 	// stopReserve is the part of the grace that is kept for the exit.
 	stopReserve = 500 * time.Millisecond
-	// warmWait bounds the time for first connections.
-	warmWait = 3 * time.Second
+	// warmWait is the time for first connections before the host is ready.
+	warmWait = 600 * time.Millisecond
 )
 
 // Host is one entry host.
@@ -78,12 +78,13 @@
 	recorder := &recorder{log: log, counters: h.counters}
 	h.client = forward.New(platform.Dialect{}, dial.TCP, recorder)
 	h.gateway = gateway.New(gateway.Config{
-		DataCentre:  s.DataCentre,
-		Incarnation: incarnation,
-		Allowance:   balance.Allowance{Ratio: s.ExtraRatio, Slack: s.ExtraSlack},
-		Now:         h.now,
-		Sender:      h.client,
-		Recorder:    recorder,
+		DataCentre:    s.DataCentre,
+		Incarnation:   incarnation,
+		Allowance:     balance.Allowance{Ratio: s.ExtraRatio, Slack: s.ExtraSlack},
+		CallerLatency: time.Duration(s.CallerLatencyMS * float64(time.Millisecond)),
+		Now:           h.now,
+		Sender:        h.client,
+		Recorder:      recorder,
 	}, newRand(seed[16:]))
 	return h, nil
 }
@@ -107,6 +108,7 @@
 		return err
 	}
 	server := &http.Server{
+		ConnContext:       platform.ConnContext,
 		Handler:           &platform.Ingress{Gateway: h.gateway, Closing: h.stopping.Load},
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       time.Minute,
@@ -164,19 +166,11 @@
 	hosts = max(hosts, leastHosts)
 	h.client.SetTargets(targets(v, hosts))
 	h.gateway.SetView(v, hosts)
-	h.warmed.Do(func() { go h.warm() })
+	h.warmed.Do(func() { time.AfterFunc(warmWait, h.becomeReady) })
 }
 
-func (h *Host) warm() {
-	done := make(chan struct{})
-	go func() {
-		h.client.Warm()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(warmWait):
-	}
+// becomeReady takes requests once the first connections had time to open.
+func (h *Host) becomeReady() {
 	h.ready.Store(true)
 	h.log.Info().Dur("after_ms", h.now()).Msg("ready")
 }
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -35,6 +35,8 @@
 	GraceSeconds float64 `json:"grace_s"`
 	// DrainMS is the time in which every host must know of a leaving replica.
 	DrainMS float64 `json:"drain_ms"`
+	// CallerLatencyMS is the one-way time between callers and the host.
+	CallerLatencyMS float64 `json:"caller_latency_ms"`
 	// Extra attempts of one service over all hosts, in any window.
 	ExtraRatio float64 `json:"extra_attempts_ratio"`
 	ExtraSlack float64 `json:"extra_attempts_slack"`
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 
 import (
 	"bufio"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	readBuffer = 2 << 10
 	// maxResponseBytes bounds a response's body.
 	maxResponseBytes = 4 << 20
+	// warmSpread is the time over which hosts open their first connections to a
+	// new replica.
+	warmSpread = 500 * time.Millisecond
 	// dialsPerAttempt bounds the connections that an attempt tries before a byte
 	// is written.
 	dialsPerAttempt = 2
@@ -92,6 +96,7 @@
 		if p == nil {
 			p = newPool(c, t)
 			c.pools[t.Key] = p
+			time.AfterFunc(rand.N(warmSpread), p.warm)
 		}
 		p.setMax(t.MaxConnections)
 	}
@@ -103,16 +108,6 @@
 	}
 }
 
-// Warm opens a first connection to each target that has none, and waits until
-// each is open or failed.
-func (c *Client) Warm() {
-	var wg sync.WaitGroup
-	for _, p := range c.currentPools() {
-		wg.Go(p.warm)
-	}
-	wg.Wait()
-}
-
 // Send carries an attempt to its replica and calls done exactly once, from
 // another goroutine.
 func (c *Client) Send(req dispatch.Request, done func(dispatch.Reply)) {
@@ -147,15 +142,5 @@
 	}
 }
 
-func (c *Client) currentPools() []*pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	pools := make([]*pool, 0, len(c.pools))
-	for _, p := range c.pools {
-		pools = append(pools, p)
-	}
-	return pools
-}
-
 // readers are the read buffers of closed connections.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -14,7 +14,7 @@
 
 const (
 	// hedgeQuantile is the share of attempts that reply before a hedge is sent.
-	hedgeQuantile = 0.92
+	hedgeQuantile = 0.87
 	// hedgeBegin is the part of the latency target after which a hedge is sent
 	// while the latencies are not known.
 	hedgeBegin = 4
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,9 @@
 	Message dispatch.Message
 	// Path selects the route; it has no query part.
 	Path string
+	// Fresh tells that the request is the first on its connection, which the
+	// caller has just opened.
+	Fresh bool
 	// Patience is how long the caller waits; zero if the caller does not say.
 	Patience time.Duration
 }
@@ -82,6 +85,8 @@
 	// Incarnation tells this process's requests from those of others.
 	Incarnation uint64
 	Allowance   balance.Allowance
+	// CallerLatency is the one-way time between callers and the host.
+	CallerLatency time.Duration
 	// Now is the monotonic time since the start of the process.
 	Now      func() time.Duration
 	Sender   Sender
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -57,6 +57,7 @@
 		Index:   plan.Index,
 		Forward: &query.Forward{
 			Message:      &r.Message,
+			Target:       now + g.target(r, route),
 			MaxReplicas:  route.MaxReplicas,
 			LeastCovered: max(route.LeastShards, 1),
 			Paced:        len(route.Shards) > 0,
@@ -69,6 +70,29 @@
 	return run
 }
 
+const (
+	// A caller's time begins before its request arrives: with the opening of a
+	// new connection, which takes two ways more.
+	waysKept  = 2
+	waysFresh = 4
+	// answerTime is the time to merge and write an answer.
+	answerTime = 2 * time.Millisecond
+	// leastTarget is the least part of the latency target that is used, as a
+	// divisor.
+	leastTarget = 2
+)
+
+// target returns the time within which an answer still reaches its caller at the
+// route's latency target.
+func (g *Gateway) target(r *Request, route *routing.Route) time.Duration {
+	ways := waysKept
+	if r.Fresh {
+		ways = waysFresh
+	}
+	reserve := time.Duration(ways)*g.cfg.CallerLatency + answerTime
+	return max(route.Target-reserve, route.Target/leastTarget)
+}
+
 // patience returns the time for an answer: the lesser of what the caller and the
 // route allow, less the time for its way back.
 func patience(caller, timeout time.Duration) time.Duration {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -63,6 +63,9 @@
 	// LeastCovered is the fewest shards of a useful answer. The query ends as
 	// soon as it cannot be reached.
 	LeastCovered int
+	// Target is the monotonic time at which an answer with the fewest shards is
+	// given.
+	Target time.Duration
 	// Paced tells that retries without an untried replica wait out a backoff
 	// and are not limited in number.
 	Paced bool
@@ -277,6 +280,9 @@
 	if q.p.Service.Preference != config.PreferLatency || q.covered < q.leastCovered() {
 		return q.p.Deadline
 	}
+	if q.p.Forward != nil {
+		return q.p.Forward.Target
+	}
 	return q.started + q.p.Service.LatencyTarget()
 }
 
