Cut answers earlier and give replicas only the time that is of use

Requests that never succeed within their route's timeout were hedged and so held two slots for a second each.

Change: 5 ms instead of 2 for merging and delivery; an attempt for a shard has the time until its query's cut-off, so that the replica drops it from its queue; a route without a success is not hedged.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -84,15 +84,25 @@
 }
 
 // ended notes the reply to an attempt that took a time.
-func (b *beliefs) ended(now time.Duration, route string, a *balance.Attempt, reply *dispatch.Reply, took time.Duration) {
+func (b *beliefs) ended(now time.Duration, route *routing.Route, a *balance.Attempt, reply *dispatch.Reply, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.Ended(now, a, reply)
-	if q := b.hedges[route]; q != nil && reply.Outcome == dispatch.OK {
-		q.Observe(took)
+	if reply.Outcome == dispatch.OK {
+		b.observe(route, took)
 	}
 }
 
+// observe notes the time of an attempt of a route; the caller holds mu.
+func (b *beliefs) observe(route *routing.Route, took time.Duration) {
+	q := b.hedges[route.Name]
+	if q == nil {
+		q = balance.NewQuantile(hedgeQuantile, route.Target/hedgeBegin)
+		b.hedges[route.Name] = q
+	}
+	q.Observe(took)
+}
+
 // requestBeliefs are the beliefs as one request's query machine sees them.
 type requestBeliefs struct {
 	*beliefs
@@ -121,8 +131,7 @@
 	defer r.mu.Unlock()
 	q := r.hedges[r.route.Name]
 	if q == nil {
-		q = balance.NewQuantile(hedgeQuantile, r.route.Target/hedgeBegin)
-		r.hedges[r.route.Name] = q
+		return r.route.Timeout // a route of which no request succeeds is not hedged
 	}
 	return min(max(q.Value(), r.route.Target/hedgeLeast), r.route.Target/hedgeMost)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,8 +75,8 @@
 	// new connection, which takes two ways more.
 	waysKept  = 2
 	waysFresh = 4
-	// answerTime is the time to merge and write an answer.
-	answerTime = 2 * time.Millisecond
+	// answerTime is the time to merge, write and deliver an answer.
+	answerTime = 5 * time.Millisecond
 	// leastTarget is the least part of the latency target that is used, as a
 	// divisor.
 	leastTarget = 2
@@ -151,7 +151,7 @@
 	attempt := r.g.beliefs.sent(sent, r.route.Name, req.Endpoint)
 	r.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := r.g.cfg.Now()
-		r.g.beliefs.ended(now, r.route.Name, attempt, &reply, now-sent)
+		r.g.beliefs.ended(now, r.route, attempt, &reply, now-sent)
 		r.g.cfg.Recorder.Attempt(reply.Code)
 		select {
 		case r.replies <- reply:
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -81,7 +81,7 @@
 		Body:      q.p.Body,
 		Limit:     q.p.Limit,
 		Urgency:   q.p.Service.Urgency,
-		Budget:    q.p.Deadline - now,
+		Budget:    q.attemptBudget(now),
 		Suspect:   q.suspect,
 		Message:   q.message(),
 	})
@@ -256,6 +256,16 @@
 	q.send(now, i, endpoint)
 }
 
+// attemptBudget returns the time that an endpoint is given. A forwarded message
+// for several shards is of use until the target; what is left of its queue then
+// is work for nothing.
+func (q *Query) attemptBudget(now time.Duration) time.Duration {
+	if f := q.p.Forward; f != nil && f.Paced && now < f.Target {
+		return f.Target - now
+	}
+	return q.p.Deadline - now
+}
+
 // message returns the message that is forwarded, or nil for a search.
 func (q *Query) message() *dispatch.Message {
 	if q.p.Forward == nil {
