--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -65,6 +65,8 @@
 	if c.idleLimit > 0 && now.Sub(c.idleSince) > c.idleLimit-idleReserve {
 		return false
 	}
+	// A deadline that has passed since the last request would fail the look.
+	_ = c.SetDeadline(time.Time{})
 	return c.reader.Buffered() == 0 && c.quiet()
 }
 
