Learn the share of refusals of each replica

Change: the share of refusals is a moving average with a half-life of two seconds and part of a replica's cost.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,8 +35,13 @@
 	typicalWeight = 0.05
 	// maxTypicalStep bounds how far above the typical time an attempt counts.
 	maxTypicalStep = 2
-	// refusalHold is the time for which a replica that refused is avoided.
-	refusalHold = 60 * time.Millisecond
+	// refusalWeight is the weight of an attempt in the share of refusals, and
+	// refusalHalfLife the time in which an unused share halves.
+	refusalWeight   = 0.3
+	refusalHalfLife = 2 * time.Second
+	// refusalCost is the time that a refusal costs, in typical times: the attempt
+	// that follows and its share of the budget.
+	refusalCost = 4
 	// minFaultHold and maxFaultHold bound the time for which a replica that
 	// failed is avoided; it doubles with each failure in a row.
 	minFaultHold = 100 * time.Millisecond
@@ -72,6 +77,9 @@
 	// slowness is the time of an attempt as a multiple of what is typical.
 	slowness   float64
 	slownessAt time.Duration
+	// refusals is the share of attempts that the replica refuses.
+	refusals   float64
+	refusalsAt time.Duration
 	open       []*Attempt
 	faults     int
 	heldUntil  time.Duration
@@ -154,9 +162,10 @@
 	case reply.Outcome == dispatch.OK:
 		r.faults = 0
 		r.heldUntil = 0
+		r.observeRefusal(now, 0)
 		t.learn(now, a, took)
 	case reply.Code == result.EndpointShed:
-		r.heldUntil = max(r.heldUntil, now+refusalHold)
+		r.observeRefusal(now, 1)
 	case reply.Code == result.Cancelled || reply.Code == result.CancelledBeforeSend:
 		t.atLeast(now, a, took)
 	case reply.Code == result.ConnectionLimit || reply.Code == result.ExpiredBeforeSend:
@@ -171,6 +180,18 @@
 	r.heldUntil = max(r.heldUntil, now+hold)
 }
 
+// observeRefusal takes whether an attempt was refused, as 1 or 0.
+func (r *replica) observeRefusal(now time.Duration, refused float64) {
+	share := r.refusalShare(now)
+	r.refusals = share + refusalWeight*(refused-share)
+	r.refusalsAt = now
+}
+
+// refusalShare returns the share of refusals, which fades as it ages.
+func (r *replica) refusalShare(now time.Duration) float64 {
+	return r.refusals * math.Exp2(-float64(now-r.refusalsAt)/float64(refusalHalfLife))
+}
+
 func (r *replica) close(a *Attempt) {
 	for i, o := range r.open {
 		if o == a {
@@ -231,7 +252,7 @@
 	if now < r.coldUntil {
 		slowness = max(slowness, coldFactor)
 	}
-	cost := slowness * (1 + float64(len(r.open))/float64(r.slots))
+	cost := slowness*(1+float64(len(r.open))/float64(r.slots)) + refusalCost*r.refusalShare(now)
 	if r.dataCentre != t.dataCentre {
 		cost *= remoteFactor
 	}
