--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -21,11 +21,12 @@
 	// gather.
 	readPause = 120 * time.Millisecond
 	// staleAfter is the age of what a host knows from which it reads itself,
-	// later by staleStep for each host before it in the order, up to
-	// maxStaleWait.
-	staleAfter   = 1000 * time.Millisecond
-	staleStep    = 150 * time.Millisecond
-	maxStaleWait = 2000 * time.Millisecond
+	// later by staleStep for each of staleSteps hosts before it in the order. The
+	// hosts beyond spread over staleSpread.
+	staleAfter  = 950 * time.Millisecond
+	staleStep   = 40 * time.Millisecond
+	staleSteps  = 12
+	staleSpread = 400 * time.Millisecond
 	// minReadRetry and maxReadRetry bound the time between reads that fail; hosts
 	// beyond the first readRetryFirst wait longest.
 	minReadRetry   = 300 * time.Millisecond
@@ -123,6 +124,10 @@
 	digest   uint64
 	reading  bool
 	failures int
+	// acting tells that this host reads the store for the others: it did so last,
+	// and no host before it in the order does.
+	acting bool
+	spread time.Duration
 	readAt   time.Duration
 	fetching bool
 	fetchAt  time.Duration
@@ -146,6 +151,7 @@
 		catalog: catalog.New(),
 		hosts:   1,
 	}
+	m.spread = time.Duration(rng.Int64N(int64(staleSpread)))
 	switch {
 	case len(seeds) == 0:
 		m.readAt = now
@@ -193,6 +199,9 @@
 	if unknown && !h.Leaving {
 		m.sendTo(now, []string{h.From})
 	}
+	if h.Reading && m.members.precedes(h.From) {
+		m.acting = false
+	}
 	m.compare(now, &h)
 	m.readDue(now)
 	return m.take()
@@ -279,6 +288,7 @@
 		m.changed(Change{Kind: ChangeStoreBack, Source: sourceStore})
 	}
 	m.failures = 0
+	m.acting = true
 	m.readAt = now + readPause
 	changed := m.takeConfig(r.Config, sourceStore)
 	if r.Read.After == 0 {
@@ -301,6 +311,7 @@
 		m.changed(Change{Kind: ChangeStoreLost, Source: sourceStore, Err: err})
 	}
 	m.failures++
+	m.acting = false
 	if errors.Is(err, ErrHistoryGone) {
 		m.catalog.Reset()
 		m.readAt = now
@@ -328,17 +339,20 @@
 	m.out.Read = read
 }
 
-// turn returns when this host reads: the first in the order always, the others
-// when what they know is so old that those before them seem to fail.
+// turn returns when this host reads: at once if it is the one that does, else
+// when what it knows is so old that those before it seem to fail.
 func (m *Machine) turn() time.Duration {
 	if !m.catalog.Known() || m.config == nil {
 		return 0
 	}
-	rank := m.members.rank()
-	if rank == 0 && m.failures == 0 {
+	if m.acting {
 		return 0
 	}
-	return m.catalog.Read() + min(staleAfter+time.Duration(rank)*staleStep, maxStaleWait)
+	wait := staleAfter + time.Duration(min(m.members.rank(), staleSteps))*staleStep
+	if m.members.rank() > staleSteps {
+		wait += m.spread
+	}
+	return m.catalog.Read() + wait
 }
 
 func (m *Machine) helloDue(now time.Duration) {
@@ -367,6 +381,7 @@
 		From:     m.self,
 		Start:    m.start,
 		Leaving:  m.leaving,
+		Reading:  m.acting,
 		Version:  m.version(),
 		Revision: m.catalog.Revision(),
 		Digest:   m.digest,
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -80,16 +80,21 @@
 // rank returns this host's position in the order in which hosts read the store:
 // zero reads first.
 func (m *members) rank() int {
-	own := xxhash.Sum64String(m.self)
 	rank := 0
 	for a := range m.hosts {
-		if h := xxhash.Sum64String(a); h < own || h == own && a < m.self {
+		if m.precedes(a) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// precedes reports whether another host comes before this one in that order.
+func (m *members) precedes(address string) bool {
+	own, other := xxhash.Sum64String(m.self), xxhash.Sum64String(address)
+	return other < own || other == own && address < m.self
+}
+
 // sample returns some members for a heartbeat, those heard last first.
 func (m *members) sample(now time.Duration, rng *rand.Rand) []Member {
 	out := make([]Member, 0, len(m.hosts))
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -19,6 +19,8 @@
 	Start uint64 `msgpack:"s"`
 	// Leaving tells that the sender is stopping.
 	Leaving bool `msgpack:"l"`
+	// Reading tells that the sender reads the store for the others.
+	Reading bool `msgpack:"e"`
 	// Version is the configuration in force at the sender.
 	Version uint64 `msgpack:"v"`
 	// Revision and Digest say what the sender knows of the store, and Age how
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,66 @@
+package routing_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+func config() *routing.Config {
+	c := &routing.Config{Version: 3, Routes: []routing.Route{
+		{Name: "all", Host: "a.example", Prefix: "/", Parts: []routing.Part{{Service: "s", Weight: 1}}},
+		{Name: "deep", Host: "a.example", Prefix: "/x/y/", Shards: []string{"s0", "s1"}, LeastShards: 1},
+		{Name: "mid", Host: "A.example", Prefix: "/x/", Parts: []routing.Part{{Service: "p", Weight: 1}, {Service: "none"}, {Service: "q", Weight: 3}}},
+	}}
+	c.Index()
+	return c
+}
+
+func TestMatch(t *testing.T) {
+	c := config()
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "deep"},
+		{"a.example:8080", "/x/y/z", "deep"},
+		{"A.EXAMPLE", "/x/y", "mid"},
+		{"a.example", "/x", "all"},
+		{"a.example", "/", "all"},
+		{"b.example", "/x/", ""},
+		{"", "", ""},
+	} {
+		got := ""
+		if r := c.Match(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		NewWithT(t).Expect(got).To(Equal(tc.want), tc.host+tc.path)
+	}
+}
+
+func TestChooseFollowsTheWeights(t *testing.T) {
+	g := NewWithT(t)
+	r := &config().Routes[2]
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Choose(float64(i)/1000)]++
+	}
+	g.Expect(counts).To(Equal(map[string]int{"p": 250, "q": 750}))
+	g.Expect((&routing.Route{}).Choose(0.5)).To(BeEmpty())
+}
+
+func TestViewPlansRoutes(t *testing.T) {
+	g := NewWithT(t)
+	c := config()
+	v := routing.NewView(c, []*routing.Replica{
+		{ID: "b", Born: 2, Service: "s0", Slots: 1},
+		{ID: "a", Born: 1, Service: "s0", Slots: 1},
+		{ID: "l", Service: "s1", Leaving: true},
+	}, 0)
+	deep := v.Plan(&c.Routes[1], "")
+	g.Expect(deep.Services).To(Equal([]string{"s0", "s1"}))
+	g.Expect(deep.Index.Snapshots[0].ID).To(BeEquivalentTo(3))
+	g.Expect(deep.Index.Snapshots[0].Shards[0].Replicas).To(Equal([]string{"a@1", "b@2"}))
+	g.Expect(deep.Index.Snapshots[0].Shards[1].Replicas).To(BeEmpty())
+	g.Expect(v.Plan(&c.Routes[2], "q")).NotTo(BeNil())
+	g.Expect(v.Plan(&c.Routes[2], "other")).To(BeNil())
+}
