--- /dev/null
+++ b/internal/entryhost/entryhost_test.go
@@ -0,0 +1,354 @@
+package entryhost_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/gypsumlug/gypsumlug/internal/entryhost"
+	"github.com/gypsumlug/gypsumlug/platform/standin"
+)
+
+// site is a store, the replicas of a few services, and entry hosts.
+type site struct {
+	t        *testing.T
+	store    *standin.Store
+	address  string
+	replicas map[string]*standin.Replica
+	version  int
+	hosts    []*running
+}
+
+type running struct {
+	callers   string
+	readiness string
+	stop      chan struct{}
+	done      chan error
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, store: standin.NewStore(), replicas: map[string]*standin.Replica{}}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	return s
+}
+
+// replica starts a replica and registers it.
+func (s *site) replica(id, service string) *standin.Replica {
+	r := &standin.Replica{ID: id, Service: service, Records: bytes.Repeat([]byte(id[len(id)-1:]), 16)}
+	server := httptest.NewServer(r)
+	s.t.Cleanup(server.Close)
+	s.replicas[id] = r
+	s.register(id, service, strings.TrimPrefix(server.URL, "http://"), "ready")
+	return r
+}
+
+func (s *site) register(id, service, address, state string) {
+	s.store.Put("servers/"+id, map[string]any{
+		"service": service, "address": address, "zone": "z", "version": "v1", "slots": 2, "state": state,
+		"cold_remaining_ms": 0, "sequence": 1, "born": 5,
+	})
+}
+
+// configure publishes three routes: an index of the shards, a safe and an unsafe
+// one.
+func (s *site) configure(shards ...string) {
+	s.version++
+	services := []map[string]any{{"name": "one", "health_check_path": "/health", "max_connections": 50}}
+	for _, name := range shards {
+		services = append(services, map[string]any{"name": name, "health_check_path": "/health", "max_connections": 50})
+	}
+	s.store.Put("op/config", map[string]any{
+		"version": s.version, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"routes": []map[string]any{
+			{"name": "index", "host": "x.example", "prefix": "/index/", "type": "safe", "timeout_ms": 2000, "target_latency_ms": 1000, "priority": 1, "gather": shards, "max_attempts": 2, "top_k": 3, "min_shard_ratio": 0.5},
+			{"name": "safe", "host": "x.example", "prefix": "/safe/", "type": "safe", "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1, "service": "one", "max_attempts": 2},
+			{"name": "order", "host": "x.example", "prefix": "/order/", "type": "unsafe", "timeout_ms": 600, "target_latency_ms": 500, "priority": 1, "service": "one", "max_attempts": 2},
+		},
+	})
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// host starts an entry host and waits until it is ready.
+func (s *site) host(seeds ...string) *running {
+	s.t.Helper()
+	address := func() string { return "127.0.0.1:" + strconv.Itoa(freePort(s.t)) }
+	metrics := freePort(s.t)
+	settings := &entryhost.Settings{
+		Host: "h", DataCentre: "z", CallerAddress: address(), ReadinessAddress: address(), PeerAddress: address(),
+		InternalPorts: []int{metrics, metrics}, Seeds: seeds, StoreAddress: s.address, GraceSeconds: 6, ExtraRatio: 0.2, ExtraSlack: 100,
+	}
+	h, err := entryhost.New(settings, zerolog.Nop())
+	NewWithT(s.t).Expect(err).NotTo(HaveOccurred())
+	r := &running{callers: settings.CallerAddress, readiness: settings.ReadinessAddress, stop: make(chan struct{}), done: make(chan error, 1)}
+	go func() { r.done <- h.Run(r.stop) }()
+	s.t.Cleanup(r.end)
+	NewWithT(s.t).Eventually(r.ready, 10*time.Second).Should(BeTrue())
+	return r
+}
+
+func (r *running) ready() bool {
+	resp, err := http.Get("http://" + r.readiness + "/api/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (r *running) end() {
+	select {
+	case <-r.stop:
+	default:
+		close(r.stop)
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50, DisableCompression: true}}
+
+func (r *running) call(method, path, id, body string) reply {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+r.callers+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = "x.example"
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", "2000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+}
+
+func small(t *testing.T) (*site, *running) {
+	t.Helper()
+	s := newSite(t)
+	for _, id := range []string{"a0", "b0"} {
+		s.replica(id, "s0")
+	}
+	for _, id := range []string{"a1", "b1"} {
+		s.replica(id, "s1")
+	}
+	s.replica("one-a", "one")
+	s.replica("one-b", "one")
+	s.configure("s0", "s1")
+	return s, s.host()
+}
+
+func TestServesAnIndexFromItsShards(t *testing.T) {
+	g := NewWithT(t)
+	s, h := small(t)
+	got := h.call("GET", "/index/q?x=%2F", "id1", "")
+	g.Expect(got.status).To(Equal(200))
+	g.Expect(got.header.Get("X-Missing-Parts")).To(Equal("0"))
+	g.Expect(got.header.Get("X-Part-Stamps")).To(And(ContainSubstring("s0.id1."), ContainSubstring("s1.id1.")))
+	g.Expect(got.body).To(HaveLen(32))
+	for _, r := range s.replicas {
+		for _, run := range r.Runs() {
+			g.Expect(run.Target).To(Equal("/index/q?x=%2F"))
+		}
+	}
+}
+
+// A shard without a live replica is counted as missing, and below the least share
+// the request fails.
+func TestCountsMissingShards(t *testing.T) {
+	g := NewWithT(t)
+	s, h := small(t)
+	for _, id := range []string{"a0", "b0"} {
+		s.replicas[id].SetFaults(standin.Faults{Refuse: true})
+	}
+	got := h.call("GET", "/index/q", "id1", "")
+	g.Expect(got.status).To(Equal(200))
+	g.Expect(got.header.Get("X-Missing-Parts")).To(Equal("1"))
+	g.Expect(got.header.Get("X-Part-Stamps")).NotTo(ContainSubstring(","))
+	for _, id := range []string{"a1", "b1"} {
+		s.replicas[id].SetFaults(standin.Faults{Fail: true})
+	}
+	g.Expect(h.call("GET", "/index/q", "id2", "").status).To(Equal(504))
+}
+
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults  standin.Faults
+		status  int
+		retried bool
+	}{
+		"answer lost":             {standin.Faults{Abort: true}, 504, false},
+		"silent":                  {standin.Faults{Silent: true}, 504, false},
+		"failed":                  {standin.Faults{Fail: true}, 500, false},
+		"refused before it began": {standin.Faults{Refuse: true}, 503, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s, h := small(t)
+			s.replicas["one-a"].SetFaults(tc.faults)
+			s.replicas["one-b"].SetFaults(tc.faults)
+			for i := range 5 {
+				id := fmt.Sprint("order", i)
+				g.Expect(h.call("POST", "/order/1", id, "body").status).To(Equal(tc.status))
+			}
+			runs := map[string]int{}
+			for _, id := range []string{"one-a", "one-b"} {
+				for _, run := range s.replicas[id].Runs() {
+					runs[run.Request]++
+					g.Expect(run.Body).To(Equal("body"))
+				}
+			}
+			for id, n := range runs {
+				g.Expect(n).To(Equal(1), id)
+			}
+			g.Expect(len(runs) == 0).To(Equal(tc.retried))
+			if tc.status == 503 {
+				g.Expect(h.call("POST", "/order/1", "again", "body").header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+}
+
+func TestSafeRequestIsSentToAnotherReplica(t *testing.T) {
+	g := NewWithT(t)
+	s, h := small(t)
+	s.replicas["one-a"].SetFaults(standin.Faults{Abort: true})
+	for i := range 10 {
+		got := h.call("GET", "/safe/x", fmt.Sprint(i), "")
+		g.Expect(got.status).To(Equal(200))
+		g.Expect(got.header.Get("X-Response-Stamp")).NotTo(BeEmpty())
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	g := NewWithT(t)
+	_, h := small(t)
+	g.Expect(h.call("GET", "/nowhere", "1", "").status).To(Equal(404))
+	g.Expect(h.call("POST", "/safe/x", "2", strings.Repeat("x", 1001)).status).To(Equal(413))
+	g.Expect(h.call("POST", "/safe/x", "3", strings.Repeat("x", 1000)).status).To(Equal(200))
+	for _, raw := range []string{
+		"garbage\r\n\r\n",
+		"GET /safe/x HTTP/1.1\r\nHost: x.example\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+		"GET / HTTP/1.1\r\nHost: x.example\r\nBad Header: 1\r\n\r\n",
+		"GET / HTTP/1.1\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: x.example\r\nX: " + strings.Repeat("y", 100_000) + "\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", h.callers)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = io.WriteString(c, raw)
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		line := make([]byte, 12)
+		_, _ = io.ReadFull(c, line)
+		g.Expect(string(line)).To(HavePrefix("HTTP/1.1 4"), raw[:min(len(raw), 60)])
+		_ = c.Close()
+	}
+	g.Expect(h.call("GET", "/safe/x", "4", "").status).To(Equal(200))
+}
+
+// A replica that leaves gets no request soon after; a change of the configuration
+// is in force; both reach a host that hears of them from another one.
+func TestChangesReachEveryHost(t *testing.T) {
+	g := NewWithT(t)
+	s, first := small(t)
+	second := s.host()
+	s.register("a0", "s0", "127.0.0.1:1", "draining")
+	s.configure("s0", "s1", "s2")
+	for _, h := range []*running{first, second} {
+		g.Eventually(func() string { return h.call("GET", "/index/q", "x", "").header.Get("X-Missing-Parts") }, 5*time.Second).Should(Equal("1"))
+	}
+	before := s.replicas["a0"].Arrivals.Load()
+	for range 20 {
+		first.call("GET", "/index/q", "y", "")
+		second.call("GET", "/index/q", "y", "")
+	}
+	g.Expect(s.replicas["a0"].Arrivals.Load()).To(Equal(before))
+}
+
+// Hosts go on serving while the store is down.
+func TestServesWhileTheStoreIsDown(t *testing.T) {
+	g := NewWithT(t)
+	s, h := small(t)
+	s.store.Fail(http.StatusServiceUnavailable)
+	time.Sleep(1500 * time.Millisecond)
+	g.Expect(h.call("GET", "/index/q", "x", "").status).To(Equal(200))
+	g.Expect(h.ready()).To(BeTrue())
+}
+
+// A planned stop cuts no request, on kept connections or new ones, and each
+// order runs at most once.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	s, h := small(t)
+	for _, r := range s.replicas {
+		r.SetFaults(standin.Faults{Delay: 30 * time.Millisecond})
+	}
+	stopped := make(chan struct{})
+	var mu sync.Mutex
+	var cut []string
+	var wg sync.WaitGroup
+	for c := range 8 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				got := h.call("POST", "/order/x", id, "b")
+				if got.status == 0 {
+					mu.Lock()
+					cut = append(cut, id)
+					mu.Unlock()
+					select {
+					case <-stopped:
+						return
+					default:
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(h.stop)
+	g.Expect(h.ready()).To(BeFalse())
+	g.Eventually(h.done, 8*time.Second).Should(Receive(BeNil()))
+	close(stopped)
+	wg.Wait()
+	runs := map[string]int{}
+	for _, r := range s.replicas {
+		for _, run := range r.Runs() {
+			runs[run.Request]++
+			g.Expect(runs[run.Request]).To(Equal(1))
+		}
+	}
+	for _, id := range cut {
+		g.Expect(runs[id]).To(BeZero(), "order %s ran and got no answer", id)
+	}
+}
