Keep the discovery machine apart from its I/O, and test the adapter's bounds

internal/discovery decides without I/O, internal/keeper steps it. The import tests cover the new packages: the platform's names stand only in platform/, it imports no package that decides, and only the wiring of an entry host imports it.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,8 +18,8 @@
 
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
-	"admission", "capacity", "config", "configuration", "control", "coordinator", "dispatch", "edf", "endpoint",
-	"keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "strictjson", "view",
+	"admission", "balance", "capacity", "catalog", "config", "configuration", "control", "coordinator", "discovery", "dispatch", "edf",
+	"endpoint", "keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "routing", "strictjson", "view",
 }
 
 // messagePackages hold messages that decision packages exchange with adapters.
--- /dev/null
+++ b/internal/arch/platform_test.go
@@ -0,0 +1,88 @@
+package arch
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	root         = "../.."
+	platformPath = "github.com/gypsumlug/gypsumlug/platform"
+)
+
+// platformNames are the names of the users' platform that only its adapter
+// knows: header fields, calls, keys and fields.
+var platformNames = regexp.MustCompile(`X-Part-Stamps|X-Missing-Parts|X-Not-Executed|X-Response-Stamp|X-Expected-Instance|X-Deadline-Ms|` +
+	`X-Instance-Id|kv-key|kv-range|kv-watch|op/config|servers/|min_shard_ratio|top_k|max_attempts|cold_remaining_ms|current_rev|health_check_path`)
+
+// deciders are the packages whose machines decide; the adapter exchanges messages
+// with them and calls no decision.
+var deciders = map[string]bool{"admission": true, "balance": true, "coordinator": true, "endpoint": true, "query": true, "relay": true, "roster": true}
+
+func goFiles(t *testing.T, dir string) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() && strings.HasSuffix(path, ".go") {
+			out = append(out, path)
+		}
+		return err
+	})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return out
+}
+
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	for _, file := range goFiles(t, root) {
+		relative, err := filepath.Rel(root, file)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		if strings.HasPrefix(relative, "platform"+string(filepath.Separator)) || strings.HasSuffix(relative, filepath.Join("arch", "platform_test.go")) {
+			continue
+		}
+		source, err := os.ReadFile(file)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		if name := platformNames.Find(source); name != nil {
+			t.Errorf("%s holds the platform's name %s", relative, name)
+		}
+	}
+}
+
+func TestAdapterDecidesNothing(t *testing.T) {
+	for _, file := range goFiles(t, filepath.Join(root, "platform")) {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		for _, spec := range parsed.Imports {
+			name, _ := strconv.Unquote(spec.Path.Value)
+			if deciders[strings.TrimPrefix(name, internalPrefix)] {
+				t.Errorf("%s imports %s, which decides", file, name)
+			}
+		}
+	}
+}
+
+// Only the wiring of an entry host may import the adapter.
+func TestOnlyTheWiringImportsTheAdapter(t *testing.T) {
+	for _, file := range goFiles(t, filepath.Join(root, "internal")) {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		for _, spec := range parsed.Imports {
+			name, _ := strconv.Unquote(spec.Path.Value)
+			allowed := strings.Contains(file, "entryhost") || strings.HasSuffix(file, "_test.go")
+			if strings.HasPrefix(name, platformPath) && !allowed {
+				t.Errorf("%s imports %s", file, name)
+			}
+		}
+	}
+}
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -126,8 +126,8 @@
 	failures int
 	// acting tells that this host reads the store for the others: it did so last,
 	// and no host before it in the order does.
-	acting bool
-	spread time.Duration
+	acting   bool
+	spread   time.Duration
 	readAt   time.Duration
 	fetching bool
 	fetchAt  time.Duration
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"errors"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/catalog"
@@ -61,3 +62,15 @@
 	Since   uint64          `msgpack:"n"`
 	Entries []catalog.Entry `msgpack:"e"`
 }
+
+// ErrHistoryGone tells that the store no longer has the changes since a revision.
+var ErrHistoryGone = errors.New("the store's history is gone")
+
+// Reading is an answer of the store.
+type Reading struct {
+	// Revision is the one whose changes are to be read next.
+	Revision uint64
+	// Config is nil if there is none, or none that is new.
+	Config  *routing.Config
+	Entries []catalog.Entry
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/forward"
 	"github.com/gypsumlug/gypsumlug/internal/gateway"
+	"github.com/gypsumlug/gypsumlug/internal/keeper"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 	"github.com/gypsumlug/gypsumlug/platform"
@@ -115,22 +116,22 @@
 		MaxHeaderBytes:    32 << 10,
 	}
 	go func() { _ = server.Serve(callers) }()
-	keeper := h.newKeeper()
+	k := h.newKeeper()
 	go func() {
-		if err := keeper.Run(ctx); err != nil {
+		if err := k.Run(ctx); err != nil {
 			h.log.Error().Err(err).Msg("peers not served")
 		}
 	}()
 	h.log.Info().Str("host", h.settings.Host).Str("data_centre", h.settings.DataCentre).Msg("started")
 	<-stop
-	keeper.Leave(ctx)
+	k.Leave(ctx)
 	return h.drain(server)
 }
 
-func (h *Host) newKeeper() *discovery.Keeper {
+func (h *Host) newKeeper() *keeper.Keeper {
 	now := boottime.Now
 	machine := discovery.NewMachine(h.settings.PeerAddress, h.incarnation, h.settings.Seeds, now(), h.rng)
-	return discovery.New(discovery.Options{
+	return keeper.New(keeper.Options{
 		Self:    h.settings.PeerAddress,
 		Start:   h.incarnation,
 		Store:   platform.NewStore(h.settings.StoreAddress, now),
--- a/internal/discovery/keeper.go
+++ b/internal/keeper/keeper.go
@@ -1,46 +1,25 @@
-// Package discovery keeps a host's view of the routes and replicas current with
-// the platform's store.
-//
-// A few hosts read the store for all. The others hear from them in heartbeats
-// that what they know is still true, and fetch what is new from a peer. A host
-// that has heard nothing fresh for a while reads the store itself. Hosts find
-// each other from a few seeds, which may be stale.
-//
-// [Machine] decides all of this without I/O. [Keeper] is the one goroutine that
-// steps it and carries out its actions.
-package discovery
+// Package keeper steps a host's discovery machine and carries out its actions:
+// calls to the store, heartbeats in datagrams, and state over TCP.
+package keeper
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/gypsumlug/gypsumlug/internal/catalog"
+	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 )
 
-// ErrHistoryGone tells that the store no longer has the changes since a revision.
-var ErrHistoryGone = errors.New("the store's history is gone")
-
-// Reading is an answer of the store.
-type Reading struct {
-	// Revision is the one whose changes are to be read next.
-	Revision uint64
-	// Config is nil if there is none, or none that is new.
-	Config  *routing.Config
-	Entries []catalog.Entry
-}
-
 // Store reads what the platform publishes.
 type Store interface {
 	// All reads everything.
-	All(ctx context.Context) (Reading, error)
+	All(ctx context.Context) (discovery.Reading, error)
 	// Changes waits for a change after a revision and returns all changes. It
-	// fails with ErrHistoryGone if the store no longer has them.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (Reading, error)
+	// fails with discovery.ErrHistoryGone if the store no longer has them.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (discovery.Reading, error)
 }
 
 // Times after which calls are given up.
@@ -66,16 +45,16 @@
 // of Run; other goroutines send it events.
 type Keeper struct {
 	opts    Options
-	machine *Machine
-	events  chan func(now time.Duration) Actions
+	machine *discovery.Machine
+	events  chan func(now time.Duration) discovery.Actions
 	socket  *net.UDPConn
 	view    *routing.View
 	hosts   int
 }
 
 // New returns a keeper; Run starts it.
-func New(opts Options, machine *Machine) *Keeper {
-	return &Keeper{opts: opts, machine: machine, events: make(chan func(time.Duration) Actions), hosts: 1}
+func New(opts Options, machine *discovery.Machine) *Keeper {
+	return &Keeper{opts: opts, machine: machine, events: make(chan func(time.Duration) discovery.Actions), hosts: 1}
 }
 
 // Run keeps the view current until ctx ends.
@@ -83,7 +62,7 @@
 	if err := k.listen(ctx); err != nil {
 		return err
 	}
-	ticker := time.NewTicker(TickInterval)
+	ticker := time.NewTicker(discovery.TickInterval)
 	defer ticker.Stop()
 	k.carryOut(ctx, k.machine.Tick(k.opts.Now()))
 	for {
@@ -102,14 +81,14 @@
 func (k *Keeper) Leave(ctx context.Context) { k.send(ctx, k.machine.Leave) }
 
 // send hands an event to the goroutine of Run.
-func (k *Keeper) send(ctx context.Context, step func(time.Duration) Actions) {
+func (k *Keeper) send(ctx context.Context, step func(time.Duration) discovery.Actions) {
 	select {
 	case k.events <- step:
 	case <-ctx.Done():
 	}
 }
 
-func (k *Keeper) carryOut(ctx context.Context, a Actions) {
+func (k *Keeper) carryOut(ctx context.Context, a discovery.Actions) {
 	for _, o := range a.Send {
 		k.sendHello(o)
 	}
@@ -123,7 +102,7 @@
 	k.publish(a)
 }
 
-func (k *Keeper) publish(a Actions) {
+func (k *Keeper) publish(a discovery.Actions) {
 	if a.Hosts > 0 {
 		k.hosts = a.Hosts
 	}
@@ -135,7 +114,7 @@
 	}
 }
 
-func (k *Keeper) logChanges(changes []Change) {
+func (k *Keeper) logChanges(changes []discovery.Change) {
 	for _, c := range changes {
 		line := k.opts.Log.Info()
 		if c.Source != "" {
@@ -158,24 +137,24 @@
 }
 
 // read calls the store.
-func (k *Keeper) read(ctx context.Context, r Read) {
-	result := ReadResult{Read: r, Started: k.opts.Now()}
+func (k *Keeper) read(ctx context.Context, r discovery.Read) {
+	result := discovery.ReadResult{Read: r, Started: k.opts.Now()}
 	call, cancel := context.WithTimeout(ctx, r.Wait+readTimeout)
 	defer cancel()
-	var reading Reading
+	var reading discovery.Reading
 	if r.After == 0 {
 		reading, result.Err = k.opts.Store.All(call)
 	} else {
 		reading, result.Err = k.opts.Store.Changes(call, r.After, r.Wait)
 	}
 	result.Config, result.Entries, result.Revision = reading.Config, reading.Entries, reading.Revision
-	k.send(ctx, func(now time.Duration) Actions { return k.machine.ReadDone(now, result) })
+	k.send(ctx, func(now time.Duration) discovery.Actions { return k.machine.ReadDone(now, result) })
 }
 
 // fetch asks a peer for its state.
-func (k *Keeper) fetch(ctx context.Context, from string, request StateRequest) {
+func (k *Keeper) fetch(ctx context.Context, from string, request discovery.StateRequest) {
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	state, err := fetchState(call, from, &request)
-	k.send(ctx, func(now time.Duration) Actions { return k.machine.Fetched(now, from, state, err) })
+	k.send(ctx, func(now time.Duration) discovery.Actions { return k.machine.Fetched(now, from, state, err) })
 }
--- a/internal/discovery/transport.go
+++ b/internal/keeper/transport.go
@@ -1,4 +1,4 @@
-package discovery
+package keeper
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/gypsumlug/gypsumlug/internal/dial"
+	"github.com/gypsumlug/gypsumlug/internal/discovery"
 )
 
 // Bounds of messages between hosts, in bytes.
@@ -44,7 +45,7 @@
 	return nil
 }
 
-func (k *Keeper) sendHello(o Outgoing) {
+func (k *Keeper) sendHello(o discovery.Outgoing) {
 	data, err := msgpack.Marshal(&o.Hello)
 	if err != nil {
 		k.opts.Log.Error().Err(err).Msg("heartbeat not encoded")
@@ -66,11 +67,11 @@
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var h Hello
+		var h discovery.Hello
 		if err != nil || msgpack.Unmarshal(buf[:n], &h) != nil {
 			continue
 		}
-		k.send(ctx, func(now time.Duration) Actions { return k.machine.Hello(now, h) })
+		k.send(ctx, func(now time.Duration) discovery.Actions { return k.machine.Hello(now, h) })
 	}
 }
 
@@ -91,14 +92,14 @@
 func (k *Keeper) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
-	var request StateRequest
-	if readFrame(conn, &request) != nil || request.Format != FormatVersion {
+	var request discovery.StateRequest
+	if readFrame(conn, &request) != nil || request.Format != discovery.FormatVersion {
 		return
 	}
-	states := make(chan *State, 1)
-	k.send(ctx, func(now time.Duration) Actions {
+	states := make(chan *discovery.State, 1)
+	k.send(ctx, func(now time.Duration) discovery.Actions {
 		states <- k.machine.State(now, request)
-		return Actions{}
+		return discovery.Actions{}
 	})
 	select {
 	case s := <-states:
@@ -108,7 +109,7 @@
 }
 
 // fetchState asks a peer for what it knows.
-func fetchState(ctx context.Context, from string, request *StateRequest) (*State, error) {
+func fetchState(ctx context.Context, from string, request *discovery.StateRequest) (*discovery.State, error) {
 	conn, err := dial.TCP(ctx, from)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial peer")
@@ -120,7 +121,7 @@
 	if err := writeFrame(conn, request); err != nil {
 		return nil, eris.Wrap(err, "ask peer")
 	}
-	var s State
+	var s discovery.State
 	if err := readFrame(conn, &s); err != nil {
 		return nil, eris.Wrap(err, "read peer")
 	}
