Refuse queries that would fail for lack of capacity

Change: a throttle by index admits little more than what succeeds, once replicas refuse parts of the queries that fail; an attempt's time ends early enough for the replica's refusal to come back before the query's cut-off.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -34,6 +34,8 @@
 	hosts     int
 	budgets   map[string]*balance.Budget
 	hedges    map[string]*balance.Quantile
+	// throttles are by index, named by its first shard.
+	throttles map[string]*balance.Throttle
 }
 
 func newBeliefs(dataCentre string, a balance.Allowance, rng *rand.Rand) *beliefs {
@@ -44,9 +46,37 @@
 		hosts:     1,
 		budgets:   make(map[string]*balance.Budget),
 		hedges:    make(map[string]*balance.Quantile),
+		throttles: make(map[string]*balance.Throttle),
 	}
 }
 
+// admit reports whether a query of an index is worth beginning, and overloaded
+// whether some are not.
+func (b *beliefs) admit(now time.Duration, route *routing.Route) (admitted, overloaded bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.throttle(route)
+	admitted = t.Admit(now, b.rng.Float64())
+	return admitted, t.Overloaded(now)
+}
+
+// answered notes whether an admitted query of an index was of use.
+func (b *beliefs) answered(now time.Duration, route *routing.Route, useful bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.throttle(route).Done(now, useful)
+}
+
+// throttle returns the throttle of a route's index; the caller holds mu.
+func (b *beliefs) throttle(route *routing.Route) *balance.Throttle {
+	t := b.throttles[route.Shards[0]]
+	if t == nil {
+		t = &balance.Throttle{}
+		b.throttles[route.Shards[0]] = t
+	}
+	return t
+}
+
 func (b *beliefs) setView(v *routing.View, hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,15 @@
 	if plan == nil {
 		return g.refuse(r, route, result.NoReplica)
 	}
-	run := g.newRun(r, v, route, plan)
+	patient := true
+	if len(route.Shards) > 0 {
+		admitted, overloaded := g.beliefs.admit(g.cfg.Now(), route)
+		if !admitted {
+			return g.refuse(r, route, result.DeadlineTooShort)
+		}
+		patient = !overloaded
+	}
+	run := g.newRun(r, v, route, plan, patient)
 	return run.serve(ctx)
 }
 
@@ -151,7 +159,7 @@
 		e.Route = route.Name
 	}
 	g.cfg.Recorder.Answered(e)
-	return Answer{Code: code, RetryAfter: retryAfter(r.Patience)}
+	return Answer{Code: code, RetryAfter: g.retryAfter(r.Patience)}
 }
 
 // Bounds of the time after which a caller is told to come back.
@@ -162,7 +170,9 @@
 )
 
 // retryAfter returns when a request that did not run is worth sending again: a
-// part of the time that its caller has.
-func retryAfter(patience time.Duration) time.Duration {
-	return min(max(patience/retryAfterDivisor, minRetryAfter), maxRetryAfter)
+// part of the time that its caller has, spread so that callers do not return
+// together.
+func (g *Gateway) retryAfter(patience time.Duration) time.Duration {
+	base := min(max(patience/retryAfterDivisor, minRetryAfter), maxRetryAfter)
+	return base + time.Duration(g.beliefs.random()*float64(base))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
@@ -30,15 +31,22 @@
 	id      string
 	started time.Duration
 	left    time.Duration
+	target  time.Duration
 	query   *query.Query
 	replies chan dispatch.Reply
 	// over is closed when the request is answered, and no reply is read.
 	over chan struct{}
 }
 
-func (g *Gateway) newRun(r *Request, v *routing.View, route *routing.Route, plan *routing.Plan) *run {
+// newRun prepares a request. An impatient one ends at its latency target, since
+// later work would take the capacity of those that can still be on time.
+func (g *Gateway) newRun(r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, patient bool) *run {
 	now := g.cfg.Now()
 	left := patience(r.Patience, route.Timeout)
+	target := g.target(r, route)
+	if !patient {
+		left = min(left, target)
+	}
 	run := &run{
 		g:       g,
 		request: r,
@@ -47,6 +55,7 @@
 		id:      fmt.Sprintf("%x-%x", g.cfg.Incarnation, g.sequence.Add(1)),
 		started: now,
 		left:    left,
+		target:  target,
 		replies: make(chan dispatch.Reply, repliesPerShard*len(plan.Services)),
 		over:    make(chan struct{}),
 	}
@@ -57,7 +66,7 @@
 		Index:   plan.Index,
 		Forward: &query.Forward{
 			Message:      &r.Message,
-			Target:       now + g.target(r, route),
+			Target:       now + target,
 			MaxReplicas:  route.MaxReplicas,
 			LeastCovered: max(route.LeastShards, 1),
 			Paced:        len(route.Shards) > 0,
@@ -77,6 +86,9 @@
 	waysFresh = 4
 	// answerTime is the time to merge, write and deliver an answer.
 	answerTime = 5 * time.Millisecond
+	// lateSlack is how much later than planned an answer may leave and still count
+	// as on time.
+	lateSlack = 10 * time.Millisecond
 	// leastTarget is the least part of the latency target that is used, as a
 	// divisor.
 	leastTarget = 2
@@ -163,10 +175,24 @@
 // finish turns the query machine's answer into the caller's.
 func (r *run) finish(a *query.Answer) Answer {
 	out := r.answer(a)
+	if len(r.route.Shards) > 0 {
+		r.observeCapacity(a, len(out.Parts) > 0)
+	}
 	r.record(out.Code, a)
 	return out
 }
 
+// observeCapacity tells the throttle of a query that was on time, or of one that
+// was not because replicas refused it. Other failures say nothing of capacity.
+func (r *run) observeCapacity(a *query.Answer, served bool) {
+	now := r.g.cfg.Now()
+	onTime := served && now-r.started <= r.target+lateSlack
+	refused := slices.ContainsFunc(a.Missing, func(m query.Missing) bool { return m.Code == result.MissingRefused })
+	if onTime || refused {
+		r.g.beliefs.answered(now, r.route, onTime)
+	}
+}
+
 func (r *run) answer(a *query.Answer) Answer {
 	least := max(r.route.LeastShards, 1)
 	switch {
@@ -180,7 +206,7 @@
 	case a.Covered >= least:
 		return Answer{Code: result.Complete, Response: a.Responses[0]}
 	case !a.MayHaveRun:
-		return Answer{Code: notRun(a), RetryAfter: retryAfter(r.left)}
+		return Answer{Code: notRun(a), RetryAfter: r.g.retryAfter(r.request.Patience)}
 	case len(r.route.Shards) == 0 && a.Failure != nil:
 		return Answer{Code: result.EndpointFailed, Response: a.Failure}
 	default:
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -259,9 +259,11 @@
 // attemptBudget returns the time that an endpoint is given. A forwarded message
 // for several shards is of use until the target; what is left of its queue then
 // is work for nothing.
+// The endpoint's refusal arrives before the target, so that it tells overload from
+// silence.
 func (q *Query) attemptBudget(now time.Duration) time.Duration {
-	if f := q.p.Forward; f != nil && f.Paced && now < f.Target {
-		return f.Target - now
+	if f := q.p.Forward; f != nil && f.Paced && now < f.Target-replyTime {
+		return f.Target - replyTime - now
 	}
 	return q.p.Deadline - now
 }
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -140,6 +140,8 @@
 const (
 	retryBackoffMin = 2 * time.Millisecond
 	retryBackoffMax = 100 * time.Millisecond
+	// replyTime is the time that a reply takes back from its endpoint.
+	replyTime = 3 * time.Millisecond
 	// maxRestarts bounds the restarts of a query on another snapshot.
 	maxRestarts = 3
 	// restartReserve is the least budget that a restart on another snapshot
