Answer every request before a planned stop ends

Ruled out: the balancer's new connections after the listener closed; the replica's silence. Change: requests for one replica are handed back when the budget denies a retry; a retry after 421 is free; new hosts begin with one extra attempt for each service; what is left 0.8 s before the end of the grace period gets its final answer. Before: both new tests fail.

--- a/internal/balance/budget.go
+++ b/internal/balance/budget.go
@@ -14,8 +14,8 @@
 const (
 	ratioShare = 0.75
 	slackShare = 0.5
-	// startShare is the part of its burst that a new host begins with, since the
-	// host before it may have spent the same.
+	// startShare is the part of its burst that a new host begins with, one attempt
+	// at least, since the host before it may have spent the same.
 	startShare = 0.25
 )
 
@@ -31,7 +31,7 @@
 func NewBudget(a Allowance, hosts int) *Budget {
 	b := &Budget{}
 	b.Resize(a, hosts)
-	b.tokens = b.burst * startShare
+	b.tokens = max(b.burst*startShare, 1)
 	return b
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -41,6 +41,9 @@
 	balancerLag = 2500 * time.Millisecond
 	// stopReserve is the part of the grace that is kept for the exit.
 	stopReserve = 500 * time.Millisecond
+	// answerReserve is the part of the grace, before the reserve, in which requests
+	// that have no answer yet get their final one.
+	answerReserve = 300 * time.Millisecond
 	// warmWait is the time for first connections before the host is ready.
 	warmWait = 600 * time.Millisecond
 )
@@ -198,6 +201,8 @@
 	time.Sleep(min(balancerLag, time.Until(deadline)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	end := time.AfterFunc(time.Until(deadline.Add(-answerReserve)), h.gateway.End)
+	defer end.Stop()
 	err := server.Shutdown(ctx)
 	h.log.Info().Int("running", h.gateway.Running()).AnErr("error", err).Msg("stopped")
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,11 +100,13 @@
 	beliefs  *beliefs
 	sequence atomic.Uint64
 	running  atomic.Int64
+	// ending is closed when the requests in progress are to be answered now.
+	ending chan struct{}
 }
 
 // New returns a gateway that refuses every request until SetView.
 func New(cfg Config, rng *rand.Rand) *Gateway {
-	return &Gateway{cfg: cfg, beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, rng)}
+	return &Gateway{cfg: cfg, ending: make(chan struct{}), beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, rng)}
 }
 
 // SetView replaces the view. Requests in progress keep the one that they began
@@ -120,6 +122,10 @@
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
+// End answers the requests in progress, and those that still come, with what has
+// arrived. It is called once, before the process ends.
+func (g *Gateway) End() { close(g.ending) }
+
 // Serve answers a request. It returns early if ctx ends because the caller left.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	g.running.Add(1)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -128,6 +128,8 @@
 			answer = r.apply(r.query.Reply(r.g.cfg.Now(), reply))
 		case <-timer.C:
 			answer = r.apply(r.query.Tick(r.g.cfg.Now()))
+		case <-r.g.ending:
+			answer = r.apply(r.query.Expire())
 		case <-ctx.Done():
 			return r.hangup()
 		}
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -147,7 +147,7 @@
 // once every one was tried.
 func freeRetry(code result.Code) bool {
 	switch code {
-	case result.ConnectFailed, result.ConnectionSilent, result.SnapshotGone, result.RangeNotHeld:
+	case result.ConnectFailed, result.ConnectionSilent, result.SnapshotGone, result.RangeNotHeld, result.UnknownEndpoint:
 		return true
 	default:
 		return false
@@ -248,6 +248,10 @@
 	free := freeRetry(s.reason) || untried && unavailable(s.reason)
 	if !free && !q.p.Budgets.TakeRetry(i) {
 		q.event(EventRetryDenied, s.reason)
+		if q.p.Forward != nil && !q.paced() {
+			q.giveUp(s, missingCode(s.reason))
+			return
+		}
 		s.retryAt = now + q.nextBackoff(s)
 		return
 	}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -257,6 +257,14 @@
 	return q.take()
 }
 
+// Expire ends the query now with what has arrived, as its deadline would.
+func (q *Query) Expire() Actions {
+	if !q.done {
+		q.expire()
+	}
+	return q.take()
+}
+
 // Hangup ends the query without an answer because its caller went away.
 func (q *Query) Hangup() Actions {
 	if !q.done {
