Do not ask replicas again whose address another one took over

Change: 421 removes the incarnation on this host; of two entries with one address the later one counts; requests for one replica retry within their route's attempts. The replicas in the test of the discovery machine get addresses of their own, which it had left empty.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -5,7 +5,7 @@
 // and the monotonic time; it is not safe for concurrent use.
 //
 // Invariants of [Table]:
-//   - Pick fails only if every candidate is unknown or excluded: failures,
+//   - Pick fails only if every candidate is unknown, gone or excluded: failures,
 //     refusals and slowness order the candidates and remove none.
 //   - A belief that no reply confirms fades within a few seconds.
 package balance
@@ -82,7 +82,9 @@
 	refusalsAt time.Duration
 	open       []*Attempt
 	faults     int
-	heldUntil  time.Duration
+	// gone tells that another process answered at the replica's address.
+	gone      bool
+	heldUntil time.Duration
 }
 
 // Table holds the beliefs about all replicas of a view.
@@ -124,7 +126,7 @@
 	lowest := math.Inf(1)
 	for _, key := range candidates {
 		r := t.replicas[key]
-		if r == nil || exclude(key) {
+		if r == nil || r.gone || exclude(key) {
 			continue
 		}
 		cost := t.cost(now, r, route) * (1 + jitter*rng.Float64())
@@ -136,7 +138,10 @@
 }
 
 // Known reports whether a replica takes requests.
-func (t *Table) Known(key string) bool { return t.replicas[key] != nil }
+func (t *Table) Known(key string) bool {
+	r := t.replicas[key]
+	return r != nil && !r.gone
+}
 
 // Sent notes an attempt at a replica. It returns nil if the replica is unknown.
 func (t *Table) Sent(now time.Duration, route, key string) *Attempt {
@@ -168,6 +173,8 @@
 		r.observeRefusal(now, 1)
 	case reply.Code == result.Cancelled || reply.Code == result.CancelledBeforeSend:
 		t.atLeast(now, a, took)
+	case reply.Code == result.UnknownEndpoint:
+		r.gone = true
 	case reply.Code == result.ConnectionLimit || reply.Code == result.ExpiredBeforeSend:
 	default:
 		r.fault(now)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -122,6 +122,21 @@
 	g.Expect(key).To(Equal("a@0"))
 }
 
+// A replica whose address answers as another one is gone: it is not asked again,
+// even if there is no other.
+func TestMisaddressedReplicaIsNotAskedAgain(t *testing.T) {
+	g := NewWithT(t)
+	b, rng := table()
+	b.Ended(0, b.Sent(0, route, "a@0"), &dispatch.Reply{Outcome: dispatch.Refused, Code: result.UnknownEndpoint})
+	g.Expect(b.Known("a@0")).To(BeFalse())
+	for i := range 50 {
+		_, ok := b.Pick(time.Duration(i)*time.Second, route, []string{"a@0"}, none, rng)
+		g.Expect(ok).To(BeFalse())
+	}
+	b.SetReplicas(map[string]*routing.Replica{"a@0": {ID: "a", Slots: 1}})
+	g.Expect(b.Known("a@0")).To(BeFalse())
+}
+
 // Over any window the extra attempts of all hosts keep within the allowance,
 // however the requests and takes are dealt among hosts.
 func TestBudgetsKeepWithinTheAllowance(t *testing.T) {
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -206,7 +206,7 @@
 
 func (w *world) register(id string, leaving bool) {
 	w.revision++
-	w.log = append(w.log, catalog.Entry{ID: id, Revision: w.revision, Replica: &routing.Replica{ID: id, Service: "s", Slots: 1, Leaving: leaving}})
+	w.log = append(w.log, catalog.Entry{ID: id, Revision: w.revision, Replica: &routing.Replica{ID: id, Address: id, Service: "s", Slots: 1, Leaving: leaving}})
 }
 
 // current tells whether a host has what the store holds.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -48,12 +48,26 @@
 	g.Expect((&routing.Route{}).Choose(0.5)).To(BeEmpty())
 }
 
+// Of two entries with one address the one that was started later is right.
+func TestViewKeepsTheLastReplicaAtAnAddress(t *testing.T) {
+	g := NewWithT(t)
+	old := &routing.Replica{ID: "a", Born: 1, Service: "s0", Address: "10.0.0.1:1"}
+	leaving := &routing.Replica{ID: "c", Born: 9, Service: "s0", Address: "10.0.0.2:1", Leaving: true}
+	last := &routing.Replica{ID: "b", Born: 2, Service: "s1", Address: "10.0.0.1:1"}
+	for _, order := range [][]*routing.Replica{{old, last, leaving}, {last, leaving, old}} {
+		v := routing.NewView(config(), order, 0)
+		g.Expect(v.Replicas).To(HaveLen(1))
+		g.Expect(v.Of("s0")).To(BeEmpty())
+		g.Expect(v.Of("s1")).To(Equal([]string{"b@2"}))
+	}
+}
+
 func TestViewPlansRoutes(t *testing.T) {
 	g := NewWithT(t)
 	c := config()
 	v := routing.NewView(c, []*routing.Replica{
-		{ID: "b", Born: 2, Service: "s0", Slots: 1},
-		{ID: "a", Born: 1, Service: "s0", Slots: 1},
+		{ID: "b", Born: 2, Service: "s0", Address: "10.0.0.1:1", Slots: 1},
+		{ID: "a", Born: 1, Service: "s0", Address: "10.0.0.2:1", Slots: 1},
 		{ID: "l", Service: "s1", Leaving: true},
 	}, 0)
 	deep := v.Plan(&c.Routes[1], "")
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -55,7 +55,8 @@
 // Attempts of one shard beyond the first, when routes do not say.
 const defaultAttempts = 2
 
-// NewView joins a configuration with replicas. Leaving replicas are left out.
+// NewView joins a configuration with replicas. Leaving replicas are left out, and
+// those whose address another one took over.
 func NewView(c *Config, replicas []*Replica, read time.Duration) *View {
 	v := &View{
 		Config:    c,
@@ -64,8 +65,9 @@
 		byService: make(map[string][]string),
 		plans:     make(map[string]*Plan),
 	}
+	last := lastAtAddress(replicas)
 	for _, r := range replicas {
-		if r.Leaving {
+		if r.Leaving || last[r.Address] != r {
 			continue
 		}
 		key := r.Key()
@@ -81,6 +83,19 @@
 	return v
 }
 
+// lastAtAddress returns the replica that was started last at each address. An
+// address is used again once its replica is gone, which the store may learn
+// later.
+func lastAtAddress(replicas []*Replica) map[string]*Replica {
+	last := make(map[string]*Replica, len(replicas))
+	for _, r := range replicas {
+		if other := last[r.Address]; other == nil || r.Born > other.Born {
+			last[r.Address] = r
+		}
+	}
+	return last
+}
+
 func (v *View) plan() {
 	for i := range v.Config.Routes {
 		r := &v.Config.Routes[i]
@@ -108,9 +123,6 @@
 	if r.Repeatable {
 		s.Hedge = config.Hedge{Max: 1}
 	}
-	if len(r.Shards) == 0 {
-		s.Preference = config.PreferCoverage
-	}
 	snapshot := config.Snapshot{ID: v.Config.Version}
 	for i, name := range services {
 		snapshot.Shards = append(snapshot.Shards, config.Shard{
