--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,10 +20,14 @@
 )
 
 const (
-	// storiesPerSecond bounds the requests whose story is written, and storyBurst
-	// those at once. Answers without a story are counted.
-	storiesPerSecond = 20
-	storyBurst       = 40
+	// linesPerSecond bounds the lines of stories, and lineBurst those at once.
+	// Answers without a story are counted.
+	linesPerSecond = 25
+	lineBurst      = 60
+	// stepsPerStory bounds the steps of one story; the last ones are written.
+	stepsPerStory = 8
+	// storyQueue is the number of stories that may wait to be written.
+	storyQueue = 32
 	// sampleEvery is the share of ordinary requests whose story is written, as a
 	// divisor. It goes by the request's ID, so that every host picks the same.
 	sampleEvery = 256
@@ -37,13 +40,33 @@
 	counters *telemetry.Counters
 	now      func() time.Duration
 
-	mu     sync.Mutex
+	// stories are written by a goroutine of their own, so that no answer waits
+	// for the log.
+	stories chan gateway.Ended
+
+	// tokens and last belong to that goroutine.
 	tokens float64
 	last   time.Duration
 }
 
 func newRecorder(log zerolog.Logger, counters *telemetry.Counters, now func() time.Duration) *recorder {
-	return &recorder{log: log, counters: counters, now: now, tokens: storyBurst}
+	r := &recorder{log: log, counters: counters, now: now, tokens: lineBurst, stories: make(chan gateway.Ended, storyQueue)}
+	go r.write()
+	return r
+}
+
+// write writes stories while they keep within the rate.
+func (r *recorder) write() {
+	for e := range r.stories {
+		if !r.takeLines(min(len(e.Steps), stepsPerStory) + 1) {
+			r.counters.Inc(telemetry.StoriesSkipped)
+			continue
+		}
+		for i := max(len(e.Steps)-stepsPerStory, 0); i < len(e.Steps); i++ {
+			r.step(&e, &e.Steps[i])
+		}
+		r.answer(&e)
+	}
 }
 
 // Answered implements gateway.Recorder.
@@ -54,14 +77,11 @@
 	if e.Code.Class() == result.ClassComplete && !late && !sampled(e.RequestID) {
 		return
 	}
-	if !r.takeStory() {
+	select {
+	case r.stories <- e:
+	default:
 		r.counters.Inc(telemetry.StoriesSkipped)
-		return
-	}
-	for i := range e.Steps {
-		r.step(&e, &e.Steps[i])
 	}
-	r.answer(&e)
 }
 
 func (r *recorder) answer(e *gateway.Ended) {
@@ -95,17 +115,15 @@
 	return h.Sum32()%sampleEvery == 0
 }
 
-// takeStory reports whether one more story keeps within the rate.
-func (r *recorder) takeStory() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// takeLines reports whether a story of some lines keeps within the rate.
+func (r *recorder) takeLines(lines int) bool {
 	now := r.now()
-	r.tokens = min(r.tokens+storiesPerSecond*(now-r.last).Seconds(), storyBurst)
+	r.tokens = min(r.tokens+linesPerSecond*(now-r.last).Seconds(), lineBurst)
 	r.last = now
-	if r.tokens < 1 {
+	if r.tokens < float64(lines) {
 		return false
 	}
-	r.tokens--
+	r.tokens -= float64(lines)
 	return true
 }
 
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -40,12 +40,16 @@
 }
 
 // maxSteps bounds the steps that are kept of one request.
-const maxSteps = 64
+const maxSteps = 24
 
 // trace collects the steps of a request that explain how it ended. The first
 // attempts at shards and their good replies are left out: they are the rule.
 type trace struct {
 	steps []Step
+	// hedgeDenied and retryDenied tell that a denial was noted; others follow at
+	// each backoff.
+	hedgeDenied bool
+	retryDenied bool
 }
 
 func (t *trace) add(s Step) {
@@ -54,6 +58,16 @@
 	}
 }
 
+// denied notes the first denial of a kind.
+func (t *trace) denied(s Step) {
+	if s.Hedge && t.hedgeDenied || s.Retry && t.retryDenied {
+		return
+	}
+	t.hedgeDenied = t.hedgeDenied || s.Hedge
+	t.retryDenied = t.retryDenied || s.Retry
+	t.add(s)
+}
+
 // actions notes the attempts that a step of the query machine sent, and what it
 // was denied.
 func (t *trace) actions(at time.Duration, a *query.Actions) {
@@ -65,9 +79,9 @@
 		case query.EventRetry:
 			retry = true
 		case query.EventHedgeDenied:
-			t.add(Step{Kind: StepDenied, At: at, Hedge: true})
+			t.denied(Step{Kind: StepDenied, At: at, Hedge: true})
 		case query.EventRetryDenied:
-			t.add(Step{Kind: StepDenied, At: at, Retry: true, Code: e.Code})
+			t.denied(Step{Kind: StepDenied, At: at, Retry: true, Code: e.Code})
 		}
 	}
 	if !hedge && !retry {
