Divide the queries of wide indexes among hosts

Cause, on Muscat's grown deployment: sending 90 attempts takes a host with 0.134 of a core 60 ms, longer than the quick lookups have, and 141 hosts with a connection to each replica go over the cap of 106. Change: shards and hosts are dealt into groups by hash; a host asks one host of each other group in its data centre for that group's shards over kept connections, and merges the parts. A group without a reply by half of the target is served by the host itself, within the budget.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -19,7 +19,7 @@
 // decisionPackages are pure: they take events and times and return actions.
 var decisionPackages = []string{
 	"admission", "balance", "capacity", "catalog", "config", "configuration", "control", "coordinator", "discovery", "dispatch", "edf",
-	"endpoint", "keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "routing", "strictjson", "view",
+	"endpoint", "keyrange", "permit", "quarantine", "query", "questionnaire", "relay", "result", "roster", "routing", "split", "strictjson", "view",
 }
 
 // messagePackages hold messages that decision packages exchange with adapters.
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/catalog"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 // Timing of the machine. Times are of the clock that counts suspension, so that
@@ -79,7 +80,9 @@
 	View *routing.View
 	// Hosts is the number of hosts that share limits.
 	Hosts int
-	// Joined, Lost and Changed are for the log.
+	// Peers are the other hosts, set when they change.
+	Peers []split.Peer
+	// Changed is for the log.
 	Changed []Change
 }
 
@@ -114,16 +117,17 @@
 // Invariants: the version of the configuration and the revision of the replicas
 // in force never go back; at most one read and one fetch are under way.
 type Machine struct {
-	self     string
-	start    uint64
-	seeds    []string
-	rng      *rand.Rand
-	members  *members
-	catalog  *catalog.Catalog
-	config   *routing.Config
-	digest   uint64
-	reading  bool
-	failures int
+	self       string
+	dataCentre string
+	start      uint64
+	seeds      []string
+	rng        *rand.Rand
+	members    *members
+	catalog    *catalog.Catalog
+	config     *routing.Config
+	digest     uint64
+	reading    bool
+	failures   int
 	// acting tells that this host reads the store for the others: it did so last,
 	// and no host before it in the order does.
 	acting   bool
@@ -134,22 +138,24 @@
 	helloAt  time.Duration
 	leaving  bool
 	hosts    int
+	peers    []split.Peer
 	out      Actions
 }
 
-// NewMachine returns a machine for a host at a peer address. Seeds are peer
+// NewMachine returns a machine for a host at a peer address in a data centre. Seeds are peer
 // addresses that may be stale. It begins at a time of the clock.
-func NewMachine(self string, start uint64, seeds []string, now time.Duration, rng *rand.Rand) *Machine {
+func NewMachine(self, dataCentre string, start uint64, seeds []string, now time.Duration, rng *rand.Rand) *Machine {
 	seed := slices.Contains(seeds, self)
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == self })
 	m := &Machine{
-		self:    self,
-		start:   start,
-		seeds:   seeds,
-		rng:     rng,
-		members: newMembers(self),
-		catalog: catalog.New(),
-		hosts:   1,
+		self:       self,
+		dataCentre: dataCentre,
+		start:      start,
+		seeds:      seeds,
+		rng:        rng,
+		members:    newMembers(self),
+		catalog:    catalog.New(),
+		hosts:      1,
 	}
 	m.spread = time.Duration(rng.Int64N(int64(staleSpread)))
 	switch {
@@ -167,6 +173,10 @@
 func (m *Machine) Tick(now time.Duration) Actions {
 	m.members.tick(now)
 	m.resize()
+	if peers := m.members.peers(); !slices.Equal(peers, m.peers) {
+		m.peers = peers
+		m.out.Peers = peers
+	}
 	if m.catalog.Tick(now) {
 		m.publish(now, "expiry")
 	}
@@ -191,10 +201,10 @@
 	if h.Leaving {
 		m.members.left(h.From)
 	} else {
-		m.members.heard(h.From, h.Start, now)
+		m.members.heard(h.From, h.Start, h.DataCentre, now)
 	}
 	for _, x := range h.Members {
-		m.members.heard(x.Address, x.Start, now-x.Age)
+		m.members.heard(x.Address, x.Start, x.DataCentre, now-x.Age)
 	}
 	if unknown && !h.Leaving {
 		m.sendTo(now, []string{h.From})
@@ -377,16 +387,17 @@
 		return
 	}
 	h := Hello{
-		Format:   FormatVersion,
-		From:     m.self,
-		Start:    m.start,
-		Leaving:  m.leaving,
-		Reading:  m.acting,
-		Version:  m.version(),
-		Revision: m.catalog.Revision(),
-		Digest:   m.digest,
-		Age:      m.age(now),
-		Members:  m.members.sample(now, m.rng),
+		Format:     FormatVersion,
+		From:       m.self,
+		Start:      m.start,
+		DataCentre: m.dataCentre,
+		Leaving:    m.leaving,
+		Reading:    m.acting,
+		Version:    m.version(),
+		Revision:   m.catalog.Revision(),
+		Digest:     m.digest,
+		Age:        m.age(now),
+		Members:    m.members.sample(now, m.rng),
 	}
 	for _, address := range to {
 		m.out.Send = append(m.out.Send, Outgoing{To: address, Hello: h})
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -70,7 +70,7 @@
 
 func (w *world) start(h *host) {
 	seeds := []string{w.hosts[0].address, "10.9.9.9:1", w.hosts[len(w.hosts)/2].address}
-	h.machine = discovery.NewMachine(h.address, w.rng.Uint64(), seeds, w.now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
+	h.machine = discovery.NewMachine(h.address, "dc", w.rng.Uint64(), seeds, w.now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
 	h.view, h.dead, h.frozen = nil, false, false
 }
 
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 const (
@@ -29,8 +31,9 @@
 }
 
 type member struct {
-	start uint64
-	heard time.Duration
+	start      uint64
+	dataCentre string
+	heard      time.Duration
 }
 
 func newMembers(self string) *members {
@@ -39,17 +42,17 @@
 
 // heard notes a sign of a host at a time. A sign of an earlier incarnation that
 // comes late changes nothing.
-func (m *members) heard(address string, start uint64, at time.Duration) {
+func (m *members) heard(address string, start uint64, dataCentre string, at time.Duration) {
 	if address == m.self || address == "" {
 		return
 	}
 	known := m.hosts[address]
 	if known == nil {
-		m.hosts[address] = &member{start: start, heard: at}
+		m.hosts[address] = &member{start: start, dataCentre: dataCentre, heard: at}
 		return
 	}
 	if at > known.heard {
-		known.start, known.heard = start, at
+		known.start, known.dataCentre, known.heard = start, dataCentre, at
 	}
 }
 
@@ -77,6 +80,15 @@
 	return out
 }
 
+// peers returns the other hosts.
+func (m *members) peers() []split.Peer {
+	out := make([]split.Peer, 0, len(m.hosts))
+	for _, a := range m.addresses() {
+		out = append(out, split.Peer{Address: a, DataCentre: m.hosts[a].dataCentre})
+	}
+	return out
+}
+
 // rank returns this host's position in the order in which hosts read the store:
 // zero reads first.
 func (m *members) rank() int {
@@ -100,7 +112,7 @@
 	out := make([]Member, 0, len(m.hosts))
 	for _, a := range m.addresses() {
 		h := m.hosts[a]
-		out = append(out, Member{Address: a, Start: h.start, Age: now - h.heard})
+		out = append(out, Member{Address: a, Start: h.start, DataCentre: h.dataCentre, Age: now - h.heard})
 	}
 	rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	out = out[:min(len(out), sampleSize)]
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -18,6 +18,8 @@
 	// From is the sender's peer address, and Start tells its incarnations apart.
 	From  string `msgpack:"a"`
 	Start uint64 `msgpack:"s"`
+	// DataCentre is the sender's.
+	DataCentre string `msgpack:"c"`
 	// Leaving tells that the sender is stopping.
 	Leaving bool `msgpack:"l"`
 	// Reading tells that the sender reads the store for the others.
@@ -35,8 +37,9 @@
 
 // Member is a host as another one knows it.
 type Member struct {
-	Address string `msgpack:"a"`
-	Start   uint64 `msgpack:"s"`
+	Address    string `msgpack:"a"`
+	Start      uint64 `msgpack:"s"`
+	DataCentre string `msgpack:"c"`
 	// Age is the time since the host was heard.
 	Age time.Duration `msgpack:"g"`
 }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -25,7 +25,9 @@
 	"github.com/gypsumlug/gypsumlug/internal/forward"
 	"github.com/gypsumlug/gypsumlug/internal/gateway"
 	"github.com/gypsumlug/gypsumlug/internal/keeper"
+	"github.com/gypsumlug/gypsumlug/internal/peerlink"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 	"github.com/gypsumlug/gypsumlug/internal/version"
 	"github.com/gypsumlug/gypsumlug/platform"
@@ -60,6 +62,7 @@
 	rng         *mathrand.Rand
 	gateway     *gateway.Gateway
 	client      *forward.Client
+	peers       *peerlink.Client
 	ready       atomic.Bool
 	stopping    atomic.Bool
 	warmed      sync.Once
@@ -82,6 +85,7 @@
 		rng:         newRand(seed[8:]),
 	}
 	recorder := newRecorder(log, h.counters, h.now)
+	h.peers = peerlink.NewClient(dial.TCP)
 	h.client = forward.New(platform.Dialect{}, dial.TCP, recorder)
 	h.gateway = gateway.New(gateway.Config{
 		DataCentre:    s.DataCentre,
@@ -90,6 +94,8 @@
 		CallerLatency: time.Duration(s.CallerLatencyMS * float64(time.Millisecond)),
 		Now:           h.now,
 		Sender:        h.client,
+		Self:          split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre},
+		Peers:         partClient{h.peers},
 		Recorder:      recorder,
 	}, newRand(seed[16:]))
 	return h, nil
@@ -99,6 +105,18 @@
 	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed), binary.LittleEndian.Uint64(seed[8:])))
 }
 
+// partClient asks other hosts for parts of queries.
+type partClient struct{ peers *peerlink.Client }
+
+// Part implements gateway.Peers.
+func (p partClient) Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error) {
+	reply, err := p.peers.Ask(ctx, address, &peerlink.Request{Format: discovery.FormatVersion, Part: r})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Part, nil
+}
+
 // now returns the monotonic time since the start of the process.
 func (h *Host) now() time.Duration { return time.Since(h.started) }
 
@@ -136,14 +154,17 @@
 func (h *Host) newKeeper() *keeper.Keeper {
 	began := boottime.Now() - h.now()
 	now := func() time.Duration { return boottime.Now() - began }
-	machine := discovery.NewMachine(h.settings.PeerAddress, h.incarnation, h.settings.Seeds, now(), h.rng)
+	machine := discovery.NewMachine(h.settings.PeerAddress, h.settings.DataCentre, h.incarnation, h.settings.Seeds, now(), h.rng)
 	return keeper.New(keeper.Options{
-		Self:    h.settings.PeerAddress,
-		Start:   h.incarnation,
-		Store:   platform.NewStore(h.settings.StoreAddress, now),
-		Now:     now,
-		Publish: h.publish,
-		Log:     h.log,
+		Self:         h.settings.PeerAddress,
+		Start:        h.incarnation,
+		Store:        platform.NewStore(h.settings.StoreAddress, now),
+		Now:          now,
+		Publish:      h.publish,
+		PublishPeers: h.gateway.SetPeers,
+		Peers:        h.peers,
+		Part:         h.gateway.ServePart,
+		Log:          h.log,
 	}, machine)
 }
 
@@ -171,7 +192,7 @@
 // connections.
 func (h *Host) publish(v *routing.View, hosts int) {
 	hosts = max(hosts, leastHosts)
-	h.client.SetTargets(targets(v, hosts))
+	h.client.SetTargets(h.targets(v, hosts))
 	h.gateway.SetView(v, hosts)
 	h.warmed.Do(func() { time.AfterFunc(warmWait, h.becomeReady) })
 }
@@ -182,13 +203,18 @@
 	h.log.Info().Dur("after_ms", h.now()).Msg("ready")
 }
 
-func targets(v *routing.View, hosts int) []forward.Target {
+func (h *Host) targets(v *routing.View, hosts int) []forward.Target {
 	targets := make([]forward.Target, 0, len(v.Replicas))
+	serves := make(map[string]bool)
 	for key, r := range v.Replicas {
+		if _, known := serves[r.Service]; !known {
+			serves[r.Service] = h.gateway.Serves(v, r.Service)
+		}
 		limit := v.Config.Services[r.Service].MaxConnections
 		targets = append(targets, forward.Target{
 			Key:            key,
 			Address:        r.Address,
+			Warm:           serves[r.Service],
 			MaxConnections: max(int(float64(limit)*connectionShare/float64(hosts)), 2),
 		})
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -55,6 +55,8 @@
 	Key            string
 	Address        string
 	MaxConnections int
+	// Warm tells that a first connection is opened ahead of need.
+	Warm bool
 }
 
 // Observer is told of connections.
@@ -126,7 +128,9 @@
 		if p == nil {
 			p = newPool(c, t)
 			c.pools[t.Key] = p
-			time.AfterFunc(rand.N(warmSpread), p.warm)
+			if t.Warm {
+				time.AfterFunc(rand.N(warmSpread), p.warm)
+			}
 		}
 		p.setMax(t.MaxConnections)
 	}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 const (
@@ -36,9 +37,10 @@
 	hedges    map[string]*balance.Quantile
 	// throttles are by index, named by its first shard.
 	throttles map[string]*balance.Throttle
+	peers     *split.Table
 }
 
-func newBeliefs(dataCentre string, a balance.Allowance, rng *rand.Rand) *beliefs {
+func newBeliefs(dataCentre string, a balance.Allowance, self split.Peer, rng *rand.Rand) *beliefs {
 	return &beliefs{
 		rng:       rng,
 		table:     balance.NewTable(dataCentre),
@@ -47,9 +49,48 @@
 		budgets:   make(map[string]*balance.Budget),
 		hedges:    make(map[string]*balance.Quantile),
 		throttles: make(map[string]*balance.Throttle),
+		peers:     split.NewTable(self),
 	}
 }
 
+func (b *beliefs) setPeers(peers []split.Peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers.SetPeers(peers)
+}
+
+// ownGroup returns the group of this host.
+func (b *beliefs) ownGroup(groups int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peers.Own(groups)
+}
+
+// pickPeer chooses a host of a group and notes a request to it.
+func (b *beliefs) pickPeer(now time.Duration, group, groups int) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	address, ok := b.peers.Pick(now, group, groups, b.rng)
+	if ok {
+		b.peers.Sent(address)
+	}
+	return address, ok
+}
+
+// peerEnded notes the end of a request to a host.
+func (b *beliefs) peerEnded(now time.Duration, address string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers.Ended(now, address, ok)
+}
+
+// takeExtra takes an extra attempt of a service from its budget.
+func (b *beliefs) takeExtra(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service).Take()
+}
+
 // admit reports whether a query of an index is worth beginning, and overloaded
 // whether some are not.
 func (b *beliefs) admit(now time.Duration, route *routing.Route) (admitted, overloaded bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/query"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 // Sender carries attempts to replicas.
@@ -97,6 +99,9 @@
 	Now      func() time.Duration
 	Sender   Sender
 	Recorder Recorder
+	// Self is this host among Peers; Peers may be nil.
+	Self  split.Peer
+	Peers Peers
 }
 
 // Gateway serves requests. It is safe for concurrent use.
@@ -112,7 +117,7 @@
 
 // New returns a gateway that refuses every request until SetView.
 func New(cfg Config, rng *rand.Rand) *Gateway {
-	return &Gateway{cfg: cfg, ending: make(chan struct{}), beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, rng)}
+	return &Gateway{cfg: cfg, ending: make(chan struct{}), beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, cfg.Self, rng)}
 }
 
 // SetView replaces the view. Requests in progress keep the one that they began
@@ -122,6 +127,26 @@
 	g.view.Store(v)
 }
 
+// SetPeers replaces the other hosts.
+func (g *Gateway) SetPeers(peers []split.Peer) { g.beliefs.setPeers(peers) }
+
+// Serves reports whether this host keeps connections to the replicas of a service:
+// all hosts do, unless the service is a shard of a divided index and another
+// group's.
+func (g *Gateway) Serves(v *routing.View, service string) bool {
+	for i := range v.Config.Routes {
+		route := &v.Config.Routes[i]
+		if !slices.Contains(route.Shards, service) {
+			continue
+		}
+		groups := g.groups(route)
+		if groups > 1 && !split.In(service, g.cfg.Self, groups) {
+			return false
+		}
+	}
+	return true
+}
+
 // View returns the view in force, or nil.
 func (g *Gateway) View() *routing.View { return g.view.Load() }
 
@@ -160,6 +185,9 @@
 			return g.refuse(r, route, result.DeadlineTooShort)
 		}
 		patient = !overloaded
+		if groups := g.groups(route); groups > 1 {
+			return g.serveDivided(ctx, r, v, route, plan, groups)
+		}
 	}
 	run := g.newRun(r, v, route, plan, patient)
 	return run.serve(ctx)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -45,15 +45,27 @@
 	over chan struct{}
 }
 
+// newPartRun prepares the serving of some shards, which ends within a time with
+// what has arrived.
+func (g *Gateway) newPartRun(r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, left time.Duration) *run {
+	return g.prepare(r, v, route, plan, left, left, 0)
+}
+
 // newRun prepares a request. An impatient one ends at its latency target, since
 // later work would take the capacity of those that can still be on time.
 func (g *Gateway) newRun(r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, patient bool) *run {
-	now := g.cfg.Now()
 	left := patience(r.Patience, route.Timeout)
 	target := g.target(r, route)
 	if !patient {
 		left = min(left, target)
 	}
+	return g.prepare(r, v, route, plan, left, target, max(route.LeastShards, 1))
+}
+
+// prepare returns a run that ends within left, and at the target if at least some
+// shards are covered then.
+func (g *Gateway) prepare(r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, left, target time.Duration, least int) *run {
+	now := g.cfg.Now()
 	run := &run{
 		g:       g,
 		request: r,
@@ -75,7 +87,7 @@
 			Message:      &r.Message,
 			Target:       now + target,
 			MaxReplicas:  route.MaxReplicas,
-			LeastCovered: max(route.LeastShards, 1),
+			LeastCovered: least,
 			Paced:        len(route.Shards) > 0,
 		},
 		Deadline: now + left,
@@ -122,8 +134,18 @@
 	return left - min(left/replyReserve, maxReplyReserve)
 }
 
-// serve drives the query machine to its answer.
+// serve drives the query machine and answers the caller.
 func (r *run) serve(ctx context.Context) Answer {
+	answer := r.drive(ctx)
+	if answer == nil {
+		r.record(result.CallerGone, &query.Answer{})
+		return Answer{Code: result.CallerGone}
+	}
+	return r.finish(answer)
+}
+
+// drive steps the query machine to its answer. It returns nil if the caller left.
+func (r *run) drive(ctx context.Context) *query.Answer {
 	defer close(r.over)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -139,19 +161,13 @@
 		case <-r.g.ending:
 			answer = r.apply(r.query.Expire())
 		case <-ctx.Done():
-			return r.hangup()
+			if !r.request.Message.Once {
+				r.apply(r.query.Hangup())
+			}
+			return nil
 		}
 	}
-	return r.finish(answer)
-}
-
-// hangup ends the request of a caller that left.
-func (r *run) hangup() Answer {
-	if !r.request.Message.Once {
-		r.apply(r.query.Hangup())
-	}
-	r.record(result.CallerGone, &query.Answer{})
-	return Answer{Code: result.CallerGone}
+	return answer
 }
 
 // apply carries out the actions of the query machine and returns its answer.
--- /dev/null
+++ b/internal/gateway/split.go
@@ -0,0 +1,318 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+// Peers asks other hosts for parts of queries.
+type Peers interface {
+	// Part asks a host; an error tells that no reply came.
+	Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error)
+}
+
+const (
+	// hopTime is the time that a part takes between two hosts, both ways.
+	hopTime = 4 * time.Millisecond
+	// failoverDivisor gives the time without a reply after which a host serves
+	// another one's shards itself, as a part of the target.
+	failoverDivisor = 2
+)
+
+// division is a query that is divided among hosts. It belongs to the goroutine
+// that serves it.
+type division struct {
+	g       *Gateway
+	request *Request
+	view    *routing.View
+	route   *routing.Route
+	plan    *routing.Plan
+	started time.Duration
+	target  time.Duration
+	groups  []groupState
+	results chan groupResult
+	pending int
+}
+
+// groupState is the progress of one group of shards.
+type groupState struct {
+	shards []int
+	best   *split.Reply
+	// open counts the tries without a result, of this host and others.
+	open int
+	// own tells that this host tries.
+	own bool
+}
+
+type groupResult struct {
+	group int
+	reply *split.Reply
+}
+
+// groups returns into how many groups a route's shards are divided.
+func (g *Gateway) groups(route *routing.Route) int {
+	if g.cfg.Peers == nil {
+		return 1
+	}
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	return g.beliefs.peers.Groups(len(route.Shards))
+}
+
+// serveDivided answers a query whose shards are divided among hosts.
+func (g *Gateway) serveDivided(ctx context.Context, r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, groups int) Answer {
+	dealt := split.Deal(plan.Services, groups)
+	d := &division{
+		g: g, request: r, view: v, route: route, plan: plan,
+		started: g.cfg.Now(),
+		target:  g.target(r, route),
+		groups:  make([]groupState, groups),
+		results: make(chan groupResult, 2*groups),
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.target)
+	defer cancel()
+	own := g.beliefs.ownGroup(groups)
+	for i, shards := range dealt {
+		d.groups[i].shards = shards
+		if len(shards) == 0 {
+			continue
+		}
+		d.pending++
+		if i == own || !d.ask(ctx, i) {
+			d.serveHere(ctx, i)
+		}
+	}
+	return d.finish(d.collect(ctx))
+}
+
+// ask sends a group's shards to another host.
+func (d *division) ask(ctx context.Context, group int) bool {
+	address, ok := d.g.beliefs.pickPeer(d.g.cfg.Now(), group, len(d.groups))
+	if !ok {
+		return false
+	}
+	d.groups[group].open++
+	request := &split.Request{
+		Version: d.view.Config.Version,
+		Route:   d.route.Name,
+		Shards:  d.groups[group].shards,
+		Message: d.request.Message,
+		Target:  d.target - hopTime,
+	}
+	go func() {
+		reply, err := d.g.cfg.Peers.Part(ctx, address, request)
+		ok := err == nil && reply != nil && reply.Code == 0
+		d.g.beliefs.peerEnded(d.g.cfg.Now(), address, ok || ctx.Err() != nil && err != nil && !late(ctx))
+		if !ok {
+			reply = nil
+		}
+		d.results <- groupResult{group: group, reply: reply}
+	}()
+	return true
+}
+
+// late reports whether a context ended by its deadline.
+func late(ctx context.Context) bool { return context.Cause(ctx) == context.DeadlineExceeded }
+
+// serveHere serves a group's shards from this host.
+func (d *division) serveHere(ctx context.Context, group int) {
+	s := &d.groups[group]
+	s.open++
+	s.own = true
+	shards := s.shards
+	left := d.target - (d.g.cfg.Now() - d.started)
+	go func() {
+		reply := d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)
+		d.results <- groupResult{group: group, reply: reply}
+	}()
+}
+
+// collect waits for the groups until the target. It returns false if the caller
+// left.
+func (d *division) collect(ctx context.Context) bool {
+	failover := time.NewTimer(d.target / failoverDivisor)
+	defer failover.Stop()
+	end := time.NewTimer(d.target)
+	defer end.Stop()
+	for d.pending > 0 {
+		select {
+		case r := <-d.results:
+			d.take(ctx, r)
+		case <-failover.C:
+			d.failOver(ctx)
+		case <-end.C:
+			return true
+		case <-d.g.ending:
+			return true
+		case <-ctx.Done():
+			return late(ctx)
+		}
+	}
+	return true
+}
+
+// take notes a group's result. A host that failed is replaced by this one.
+func (d *division) take(ctx context.Context, r groupResult) {
+	s := &d.groups[r.group]
+	s.open--
+	if r.reply != nil && (s.best == nil || len(r.reply.Stamps) > len(s.best.Stamps)) {
+		s.best = r.reply
+	}
+	switch {
+	case s.best != nil && len(s.best.Missing) == 0, s.open == 0 && s.own:
+		d.pending--
+		s.own = true
+	case s.open == 0:
+		d.replace(ctx, r.group)
+	}
+}
+
+// failOver serves the groups that have no reply by now.
+func (d *division) failOver(ctx context.Context) {
+	for i := range d.groups {
+		if s := &d.groups[i]; s.open > 0 && s.best == nil && !s.own {
+			d.replace(ctx, i)
+		}
+	}
+}
+
+// replace serves a group here in place of another host, within the budget, since
+// the replicas may have had the request from there.
+func (d *division) replace(ctx context.Context, group int) {
+	s := &d.groups[group]
+	allowed := s.shards[:0:0]
+	for _, i := range s.shards {
+		if d.g.beliefs.takeExtra(d.plan.Services[i]) {
+			allowed = append(allowed, i)
+		}
+	}
+	s.own = true
+	if len(allowed) == 0 {
+		if s.open == 0 {
+			d.pending--
+		}
+		return
+	}
+	s.open++
+	left := d.target - (d.g.cfg.Now() - d.started)
+	go func() {
+		d.results <- groupResult{group: group, reply: d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, allowed, left)}
+	}()
+}
+
+// finish merges the groups.
+func (d *division) finish(present bool) Answer {
+	now := d.g.cfg.Now()
+	ended := Ended{
+		RequestID: d.request.Message.ID, Route: d.route.Name, Took: now - d.started, Left: d.target, Target: d.target,
+		Shards: len(d.plan.Services), Version: d.view.Config.Version, ViewAge: now - d.view.Read, Hosts: d.g.beliefs.fleet(),
+	}
+	var out Answer
+	var parts []*dispatch.Response
+	mayHaveRun, refused := false, false
+	for i := range d.groups {
+		s := &d.groups[i]
+		covered := 0
+		if s.best != nil {
+			covered = len(s.best.Stamps)
+			mayHaveRun = mayHaveRun || s.best.MayHaveRun
+			ended.Attempts += s.best.Attempts
+			parts = append(parts, &dispatch.Response{Body: s.best.Records})
+			for _, stamp := range s.best.Stamps {
+				out.Parts = append(out.Parts, &dispatch.Response{Stamp: stamp})
+			}
+			for _, m := range s.best.Missing {
+				refused = refused || m.Code == result.MissingRefused
+			}
+		} else if s.open > 0 {
+			mayHaveRun = true
+		}
+		ended.Covered += covered
+	}
+	out.Missing = ended.Shards - ended.Covered
+	least := max(d.route.LeastShards, 1)
+	switch {
+	case !present:
+		out = Answer{Code: result.CallerGone}
+	case ended.Covered >= least:
+		out.Code = result.Complete
+		if out.Missing > 0 {
+			out.Code = result.Partial
+		}
+		out.Records = query.MergeRecords(parts, d.route.TopRecords)
+	case mayHaveRun || ended.Covered > 0:
+		out = Answer{Code: result.OutcomeUnknown}
+	default:
+		out = Answer{Code: result.AllRefused, RetryAfter: d.g.retryAfter(d.request.Patience)}
+	}
+	if onTime := len(out.Parts) > 0; onTime || refused {
+		d.g.beliefs.answered(now, d.route, onTime)
+	}
+	ended.Code = out.Code
+	d.g.cfg.Recorder.Answered(ended)
+	return out
+}
+
+// ServePart answers another host for some shards of a query.
+func (g *Gateway) ServePart(ctx context.Context, r *split.Request) *split.Reply {
+	v := g.view.Load()
+	if v == nil || v.Config == nil || v.Config.Version != r.Version {
+		return &split.Reply{Code: result.NotReady}
+	}
+	route := v.Config.Named(r.Route)
+	if route == nil {
+		return &split.Reply{Code: result.NotFound}
+	}
+	plan := v.Plan(route, "")
+	if plan == nil || len(r.Shards) == 0 {
+		return &split.Reply{Code: result.NoReplica}
+	}
+	for _, i := range r.Shards {
+		if i < 0 || i >= len(plan.Services) {
+			return &split.Reply{Code: result.InvalidValue}
+		}
+	}
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	return g.serveShards(ctx, &Request{Message: r.Message}, v, route, plan, r.Shards, r.Target)
+}
+
+// serveShards serves some shards of a route from this host within a time.
+func (g *Gateway) serveShards(ctx context.Context, r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, shards []int, left time.Duration) *split.Reply {
+	run := g.newPartRun(r, v, route, subPlan(plan, shards), left)
+	a := run.drive(ctx)
+	if a == nil {
+		return nil
+	}
+	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: query.MergeRecords(a.Responses, route.TopRecords)}
+	for _, p := range a.Responses {
+		reply.Stamps = append(reply.Stamps, p.Stamp)
+	}
+	for _, m := range a.Missing {
+		reply.Missing = append(reply.Missing, split.Missing{Shard: shards[int(m.Range.Start)], Code: m.Code})
+	}
+	return reply
+}
+
+// subPlan returns the plan of some shards.
+func subPlan(plan *routing.Plan, shards []int) *routing.Plan {
+	whole := plan.Index.Snapshots[0]
+	snapshot := config.Snapshot{ID: whole.ID, Shards: make([]config.Shard, len(shards))}
+	services := make([]string, len(shards))
+	for i, s := range shards {
+		snapshot.Shards[i] = config.Shard{Range: whole.Shards[i].Range, Replicas: whole.Shards[s].Replicas}
+		services[i] = plan.Services[s]
+	}
+	return &routing.Plan{
+		Service:  plan.Service,
+		Index:    &config.Index{Service: plan.Index.Service, Snapshots: []config.Snapshot{snapshot}},
+		Services: services,
+	}
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -10,7 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
+	"github.com/gypsumlug/gypsumlug/internal/peerlink"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 // Store reads what the platform publishes.
@@ -41,7 +43,12 @@
 	Now func() time.Duration
 	// Publish takes each new view, with the number of hosts that share limits.
 	Publish func(v *routing.View, hosts int)
-	Log     zerolog.Logger
+	// PublishPeers takes the other hosts, when they change.
+	PublishPeers func([]split.Peer)
+	// Peers asks other hosts, and Part answers them for parts of queries.
+	Peers *peerlink.Client
+	Part  func(context.Context, *split.Request) *split.Reply
+	Log   zerolog.Logger
 }
 
 // Keeper steps the machine of one host. All its fields belong to the goroutine
@@ -106,6 +113,9 @@
 }
 
 func (k *Keeper) publish(a discovery.Actions) {
+	if a.Peers != nil {
+		k.opts.PublishPeers(a.Peers)
+	}
 	if a.Hosts > 0 {
 		k.hosts = a.Hosts
 	}
@@ -158,6 +168,6 @@
 func (k *Keeper) fetch(ctx context.Context, from string, request discovery.StateRequest) {
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	state, err := fetchState(call, from, &request)
+	state, err := k.fetchState(call, from, &request)
 	k.send(ctx, func(now time.Duration) discovery.Actions { return k.machine.Fetched(now, from, state, err) })
 }
--- a/internal/keeper/transport.go
+++ b/internal/keeper/transport.go
@@ -2,26 +2,22 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
-	"io"
 	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
+	"github.com/gypsumlug/gypsumlug/internal/peerlink"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
-// Bounds of messages between hosts, in bytes.
-const (
-	maxDatagram = 1400
-	maxFrame    = 8 << 20
-)
+// maxDatagram bounds a heartbeat, in bytes.
+const maxDatagram = 1400
 
-var errFrameTooLarge = errors.New("frame over the size limit")
+var errNoState = errors.New("peer told no state")
 
 // listen serves heartbeats over UDP and state over TCP.
 func (k *Keeper) listen(ctx context.Context) error {
@@ -36,12 +32,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	context.AfterFunc(ctx, func() {
-		_ = k.socket.Close()
-		_ = listener.Close()
-	})
+	context.AfterFunc(ctx, func() { _ = k.socket.Close() })
 	go k.receive(ctx)
-	go k.accept(ctx, listener)
+	go peerlink.Serve(ctx, listener, k)
 	return nil
 }
 
@@ -75,85 +68,37 @@
 	}
 }
 
-func (k *Keeper) accept(ctx context.Context, l net.Listener) {
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
-			continue
-		}
-		go k.serve(ctx, conn)
-	}
-}
+var _ peerlink.Handler = (*Keeper)(nil)
 
-// serve answers one request for state.
-func (k *Keeper) serve(ctx context.Context, conn net.Conn) {
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
-	var request discovery.StateRequest
-	if readFrame(conn, &request) != nil || request.Format != discovery.FormatVersion {
-		return
-	}
+// State implements peerlink.Handler.
+func (k *Keeper) State(ctx context.Context, r *discovery.StateRequest) *discovery.State {
 	states := make(chan *discovery.State, 1)
 	k.send(ctx, func(now time.Duration) discovery.Actions {
-		states <- k.machine.State(now, request)
+		states <- k.machine.State(now, *r)
 		return discovery.Actions{}
 	})
 	select {
 	case s := <-states:
-		_ = writeFrame(conn, s)
+		return s
 	case <-ctx.Done():
+		return nil
 	}
 }
 
-// fetchState asks a peer for what it knows.
-func fetchState(ctx context.Context, from string, request *discovery.StateRequest) (*discovery.State, error) {
-	conn, err := dial.TCP(ctx, from)
-	if err != nil {
-		return nil, eris.Wrap(err, "dial peer")
-	}
-	defer conn.Close()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = conn.SetDeadline(deadline)
-	}
-	if err := writeFrame(conn, request); err != nil {
-		return nil, eris.Wrap(err, "ask peer")
-	}
-	var s discovery.State
-	if err := readFrame(conn, &s); err != nil {
-		return nil, eris.Wrap(err, "read peer")
-	}
-	if s.Config != nil {
-		s.Config.Index()
-	}
-	return &s, nil
-}
+// Part implements peerlink.Handler.
+func (k *Keeper) Part(ctx context.Context, r *split.Request) *split.Reply { return k.opts.Part(ctx, r) }
 
-// writeFrame writes a 4-byte big-endian length and a msgpack message.
-func writeFrame(w io.Writer, message any) error {
-	data, err := msgpack.Marshal(message)
+// fetchState asks a peer for what it knows.
+func (k *Keeper) fetchState(ctx context.Context, from string, request *discovery.StateRequest) (*discovery.State, error) {
+	reply, err := k.opts.Peers.Ask(ctx, from, &peerlink.Request{Format: discovery.FormatVersion, State: request})
 	if err != nil {
-		return eris.Wrap(err, "encode frame")
-	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
-	_, err = w.Write(append(frame, data...))
-	return err
-}
-
-func readFrame(r io.Reader, message any) error {
-	var prefix [4]byte
-	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return err
+		return nil, err
 	}
-	size := binary.BigEndian.Uint32(prefix[:])
-	if size > maxFrame {
-		return errFrameTooLarge
+	if reply.State == nil {
+		return nil, errNoState
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return err
+	if reply.State.Config != nil {
+		reply.State.Config.Index()
 	}
-	return msgpack.Unmarshal(data, message)
+	return reply.State, nil
 }
--- /dev/null
+++ b/internal/peerlink/peerlink.go
@@ -0,0 +1,201 @@
+// Package peerlink carries requests between hosts: msgpack in TCP frames, a
+// request and its reply at a time on a connection, connections kept and reused.
+package peerlink
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/gypsumlug/gypsumlug/internal/dial"
+	"github.com/gypsumlug/gypsumlug/internal/discovery"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+const (
+	// maxFrame bounds a frame, in bytes.
+	maxFrame = 8 << 20
+	// idleTimeout is how long a connection is kept without a request; the asking
+	// side gives it up earlier.
+	idleTimeout  = 30 * time.Second
+	idleReserve  = 10 * time.Second
+	idlePerPeer  = 4
+	replyTimeout = 5 * time.Second
+)
+
+var errFrameTooLarge = errors.New("frame over the size limit")
+
+// Request is a request between hosts. One field besides Format is set.
+type Request struct {
+	Format int                     `msgpack:"f"`
+	State  *discovery.StateRequest `msgpack:"s"`
+	Part   *split.Request          `msgpack:"p"`
+}
+
+// Reply answers a Request in the same field.
+type Reply struct {
+	State *discovery.State `msgpack:"s"`
+	Part  *split.Reply     `msgpack:"p"`
+}
+
+// Handler answers the requests of other hosts.
+type Handler interface {
+	State(ctx context.Context, r *discovery.StateRequest) *discovery.State
+	Part(ctx context.Context, r *split.Request) *split.Reply
+}
+
+// Serve answers requests on the listener's connections until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler) {
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go serve(ctx, conn, h)
+		}
+	}
+}
+
+func serve(ctx context.Context, conn net.Conn, h Handler) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	for {
+		_ = conn.SetDeadline(time.Now().Add(idleTimeout))
+		var request Request
+		if readFrame(conn, &request) != nil || request.Format != discovery.FormatVersion {
+			return
+		}
+		_ = conn.SetDeadline(time.Now().Add(replyTimeout))
+		if writeFrame(conn, answer(ctx, &request, h)) != nil {
+			return
+		}
+	}
+}
+
+func answer(ctx context.Context, r *Request, h Handler) *Reply {
+	switch {
+	case r.State != nil:
+		return &Reply{State: h.State(ctx, r.State)}
+	case r.Part != nil:
+		return &Reply{Part: h.Part(ctx, r.Part)}
+	default:
+		return &Reply{}
+	}
+}
+
+// Client asks other hosts. It is safe for concurrent use.
+type Client struct {
+	dial dial.Func
+
+	mu   sync.Mutex
+	idle map[string][]idleConn
+}
+
+type idleConn struct {
+	net.Conn
+	since time.Time
+}
+
+// NewClient returns a client without connections.
+func NewClient(open dial.Func) *Client {
+	return &Client{dial: open, idle: make(map[string][]idleConn)}
+}
+
+// Ask sends a request to a host and returns its reply. A connection that fails is
+// closed; a kept one that the other side has closed is replaced once.
+func (c *Client) Ask(ctx context.Context, address string, r *Request) (*Reply, error) {
+	if conn := c.take(address); conn != nil {
+		reply, err := c.exchange(ctx, address, conn, r)
+		if err == nil || !errors.Is(err, io.EOF) || ctx.Err() != nil {
+			return reply, err
+		}
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrap(err, "dial peer")
+	}
+	return c.exchange(ctx, address, conn, r)
+}
+
+func (c *Client) exchange(ctx context.Context, address string, conn net.Conn, r *Request) (*Reply, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(replyTimeout)
+	}
+	_ = conn.SetDeadline(deadline)
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	var reply Reply
+	err := writeFrame(conn, r)
+	if err == nil {
+		err = readFrame(conn, &reply)
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	c.keep(address, conn)
+	return &reply, nil
+}
+
+func (c *Client) take(address string) net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conns := c.idle[address]; len(conns) > 0; conns = c.idle[address] {
+		last := conns[len(conns)-1]
+		c.idle[address] = conns[:len(conns)-1]
+		if time.Since(last.since) < idleTimeout-idleReserve {
+			return last.Conn
+		}
+		_ = last.Close()
+	}
+	delete(c.idle, address)
+	return nil
+}
+
+func (c *Client) keep(address string, conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[address]) >= idlePerPeer {
+		_ = conn.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], idleConn{Conn: conn, since: time.Now()})
+}
+
+// writeFrame writes a 4-byte big-endian length and a msgpack message.
+func writeFrame(w io.Writer, message any) error {
+	data, err := msgpack.Marshal(message)
+	if err != nil {
+		return eris.Wrap(err, "encode frame")
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
+	_, err = w.Write(append(frame, data...))
+	return err
+}
+
+func readFrame(r io.Reader, message any) error {
+	var prefix [4]byte
+	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(prefix[:])
+	if size > maxFrame {
+		return errFrameTooLarge
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, message)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -102,6 +102,16 @@
 	return nil
 }
 
+// Named returns the route with a name, or nil.
+func (c *Config) Named(name string) *Route {
+	for i := range c.Routes {
+		if c.Routes[i].Name == name {
+			return &c.Routes[i]
+		}
+	}
+	return nil
+}
+
 // Choose returns the part whose share of the weights holds point, which lies in
 // [0, 1). It returns the empty string if the route has no part with a weight.
 func (r *Route) Choose(point float64) string {
