--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -20,7 +20,7 @@
 
 const (
 	// hopTime is the time that a part takes between two hosts, both ways.
-	hopTime = 4 * time.Millisecond
+	hopTime = 11 * time.Millisecond
 	// failoverDivisor gives the time without a reply after which a host serves
 	// another one's shards itself, as a part of the target.
 	failoverDivisor = 2
@@ -54,6 +54,8 @@
 type groupResult struct {
 	group int
 	reply *split.Reply
+	// refused tells that the host did not take the request.
+	refused bool
 }
 
 // groups returns into how many groups a route's shards are divided.
@@ -100,7 +102,7 @@
 	}
 	d.groups[group].open++
 	request := &split.Request{
-		Version: d.view.Config.Version,
+		Index:   d.plan.Digest,
 		Route:   d.route.Name,
 		Shards:  d.groups[group].shards,
 		Message: d.request.Message,
@@ -110,10 +112,11 @@
 		reply, err := d.g.cfg.Peers.Part(ctx, address, request)
 		ok := err == nil && reply != nil && reply.Code == 0
 		d.g.beliefs.peerEnded(d.g.cfg.Now(), address, ok || ctx.Err() != nil && err != nil && !late(ctx))
+		refused := reply != nil && reply.Code != 0
 		if !ok {
 			reply = nil
 		}
-		d.results <- groupResult{group: group, reply: reply}
+		d.results <- groupResult{group: group, reply: reply, refused: refused}
 	}()
 	return true
 }
@@ -169,6 +172,8 @@
 	case s.best != nil && len(s.best.Missing) == 0, s.open == 0 && s.own:
 		d.pending--
 		s.own = true
+	case s.open == 0 && r.refused:
+		d.serveHere(ctx, r.group)
 	case s.open == 0:
 		d.replace(ctx, r.group)
 	}
@@ -263,7 +268,7 @@
 // ServePart answers another host for some shards of a query.
 func (g *Gateway) ServePart(ctx context.Context, r *split.Request) *split.Reply {
 	v := g.view.Load()
-	if v == nil || v.Config == nil || v.Config.Version != r.Version {
+	if v == nil || v.Config == nil {
 		return &split.Reply{Code: result.NotReady}
 	}
 	route := v.Config.Named(r.Route)
@@ -271,7 +276,7 @@
 		return &split.Reply{Code: result.NotFound}
 	}
 	plan := v.Plan(route, "")
-	if plan == nil || len(r.Shards) == 0 {
+	if plan == nil || plan.Digest != r.Index || len(r.Shards) == 0 {
 		return &split.Reply{Code: result.NoReplica}
 	}
 	for _, i := range r.Shards {
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 // Replica is one incarnation of a process that serves a service.
@@ -36,8 +37,10 @@
 type Plan struct {
 	Service *config.Service
 	Index   *config.Index
-	// Services are the services of the shards, in the order of the index.
+	// Services are the services of the shards, in the order of the index, and
+	// Digest identifies them.
 	Services []string
+	Digest   uint64
 }
 
 // View is a configuration joined with the replicas that take requests.
@@ -134,6 +137,7 @@
 		Service:  s,
 		Index:    &config.Index{Service: r.Name, Snapshots: []config.Snapshot{snapshot}},
 		Services: services,
+		Digest:   split.Digest(services),
 	}
 }
 
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -38,9 +38,10 @@
 
 // Request asks a host for some shards of a query.
 type Request struct {
-	// Version is the configuration that the query was begun with.
-	Version uint64 `msgpack:"v"`
-	Route   string `msgpack:"r"`
+	// Index identifies the shards of the route at the asking host; see Digest. A
+	// host that knows others for the route does not take the request.
+	Index uint64 `msgpack:"i"`
+	Route string `msgpack:"r"`
 	// Shards are positions among the route's shards.
 	Shards  []int            `msgpack:"s"`
 	Message dispatch.Message `msgpack:"m"`
@@ -120,6 +121,16 @@
 // Own returns the group of this host.
 func (t *Table) Own(groups int) int { return groupOf(t.self.Address, groups) }
 
+// Digest identifies the shards of an index, in their order.
+func Digest(services []string) uint64 {
+	d := xxhash.New()
+	for _, s := range services {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // Deal returns the positions of the services by group.
 func Deal(services []string, groups int) [][]int {
 	out := make([][]int, groups)
