--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -51,7 +51,7 @@
 	// coldFactor is the slowness of a replica that has just started.
 	coldFactor = 1.6
 	// remoteFactor is the cost of a replica in another data centre.
-	remoteFactor = 1.1
+	remoteFactor = 1.25
 	// jitter is the random part of a cost; it keeps hosts from choosing alike.
 	jitter = 0.1
 	// openPatience is how many typical times an attempt may be open until its
