Merge a host's own parts of a divided query in time

Cause, found by the new tests of divided queries: a group served by the asking host with a shard missing ended exactly at the merge and was lost with all its shards; a query of which nothing ran was then answered as unknown. Change: it ends 3 ms earlier. The tests run in a bubble of testing/synctest.

--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -21,6 +21,8 @@
 const (
 	// hopTime is the time that a part takes between two hosts, both ways.
 	hopTime = 11 * time.Millisecond
+	// mergeTime is the time in which this host's own parts reach the merge.
+	mergeTime = 3 * time.Millisecond
 	// failoverDivisor gives the time without a reply after which a host serves
 	// another one's shards itself, as a part of the target.
 	failoverDivisor = 2
@@ -129,11 +131,15 @@
 	s := &d.groups[group]
 	s.open++
 	s.own = true
-	shards := s.shards
-	left := d.target - (d.g.cfg.Now() - d.started)
+	d.serveShards(ctx, group, s.shards)
+}
+
+// serveShards serves some shards of a group from this host, to end just before
+// the merge.
+func (d *division) serveShards(ctx context.Context, group int, shards []int) {
+	left := d.target - mergeTime - (d.g.cfg.Now() - d.started)
 	go func() {
-		reply := d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)
-		d.results <- groupResult{group: group, reply: reply}
+		d.results <- groupResult{group: group, reply: d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)}
 	}()
 }
 
@@ -206,10 +212,7 @@
 		return
 	}
 	s.open++
-	left := d.target - (d.g.cfg.Now() - d.started)
-	go func() {
-		d.results <- groupResult{group: group, reply: d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, allowed, left)}
-	}()
+	d.serveShards(ctx, group, allowed)
 }
 
 // finish merges the groups.
--- /dev/null
+++ b/internal/gateway/split_test.go
@@ -0,0 +1,210 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/balance"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/gateway"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+const shards = 90
+
+type silent struct{}
+
+func (silent) Answered(gateway.Ended) {}
+func (silent) Attempt(result.Code)    {}
+func (silent) Event(query.Event)      {}
+
+// replicas answers attempts and counts them by shard.
+type replicas struct {
+	mu   sync.Mutex
+	sent map[string]int
+	// refuse tells which replicas refuse.
+	refuse func(endpoint string) bool
+}
+
+func (r *replicas) Cancel(dispatch.Key) {}
+
+func (r *replicas) Send(req dispatch.Request, done func(dispatch.Reply)) {
+	r.mu.Lock()
+	r.sent[req.Endpoint]++
+	r.mu.Unlock()
+	if r.refuse != nil && r.refuse(req.Endpoint) {
+		go done(req.Refuse(result.EndpointShed))
+		return
+	}
+	reply := dispatch.Reply{Key: req.Key, Endpoint: req.Endpoint, Outcome: dispatch.OK, Snapshot: req.Snapshot, Range: req.Range}
+	reply.Response = &dispatch.Response{Status: 200, Stamp: req.Endpoint, Body: []byte(fmt.Sprintf("%-16s", req.Endpoint))}
+	go done(reply)
+}
+
+// fleet is hosts of one data centre that ask each other in process.
+type fleet struct {
+	hosts map[string]*gateway.Gateway
+	// fail makes a host's parts fail.
+	fail func(address string) error
+	// silent hosts never reply.
+	silent func(address string) bool
+}
+
+func (f *fleet) Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error) {
+	if f.silent != nil && f.silent(address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if f.fail != nil {
+		if err := f.fail(address); err != nil {
+			return nil, err
+		}
+	}
+	return f.hosts[address].ServePart(ctx, r), nil
+}
+
+func newFleet(n int, slack float64) (*fleet, *replicas, []*gateway.Gateway) {
+	f := &fleet{hosts: map[string]*gateway.Gateway{}}
+	sender := &replicas{sent: map[string]int{}}
+	started := time.Now()
+	var peers []split.Peer
+	for i := range n {
+		peers = append(peers, split.Peer{Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "a"})
+	}
+	view := routing.NewView(wide(1))
+	var hosts []*gateway.Gateway
+	for i, p := range peers {
+		g := gateway.New(gateway.Config{
+			DataCentre: "a", Incarnation: uint64(i + 1), Allowance: balance.Allowance{Ratio: 0.2, Slack: slack},
+			Now: func() time.Duration { return time.Since(started) }, Sender: sender, Recorder: silent{}, Self: p, Peers: f,
+		}, rand.New(rand.NewPCG(uint64(i), 1)))
+		g.SetPeers(peers)
+		g.SetView(view, 1)
+		f.hosts[p.Address] = g
+		hosts = append(hosts, g)
+	}
+	return f, sender, hosts
+}
+
+// wide returns a configuration with one index of many shards, and its replicas.
+func wide(version uint64) (*routing.Config, []*routing.Replica, time.Duration) {
+	route := routing.Route{
+		Name: "r", Host: "x", Prefix: "/", Repeatable: true, Timeout: 5 * time.Second, Target: 2 * time.Second,
+		MaxReplicas: 2, TopRecords: 10, LeastShards: 80,
+	}
+	var all []*routing.Replica
+	for i := range shards {
+		name := fmt.Sprintf("s%02d", i)
+		route.Shards = append(route.Shards, name)
+		for _, copy := range []string{"a", "b"} {
+			all = append(all, &routing.Replica{ID: name + copy, Service: name, Address: name + copy, Slots: 2})
+		}
+	}
+	c := &routing.Config{Version: version, Routes: []routing.Route{route}}
+	c.Index()
+	return c, all, 0
+}
+
+func ask(g *gateway.Gateway) gateway.Answer {
+	return g.Serve(context.Background(), &gateway.Request{Message: dispatch.Message{ID: "q", Method: "GET", Host: "x", Target: "/"}, Path: "/"})
+}
+
+func stamps(a gateway.Answer) map[string]int {
+	out := map[string]int{}
+	for _, p := range a.Parts {
+		out[p.Stamp[:3]]++
+	}
+	return out
+}
+
+// expectWhole expects each shard once and the greatest records.
+func expectWhole(g *WithT, a gateway.Answer) {
+	g.Expect(a.Code).To(Equal(result.Complete))
+	g.Expect(a.Missing).To(BeZero())
+	g.Expect(stamps(a)).To(HaveLen(shards))
+	g.Expect(a.Parts).To(HaveLen(shards))
+	g.Expect(string(a.Records)).To(HavePrefix("s89"))
+	g.Expect(a.Records).To(HaveLen(10 * query.RecordSize))
+}
+
+func TestDividedQueryIsWhole(t *testing.T) { synctest.Test(t, dividedQueryIsWhole) }
+
+func dividedQueryIsWhole(t *testing.T) {
+	g := NewWithT(t)
+	_, sender, hosts := newFleet(24, 100)
+	for range 5 {
+		expectWhole(g, ask(hosts[0]))
+	}
+	total := 0
+	for _, n := range sender.sent {
+		total += n
+	}
+	g.Expect(total).To(Equal(5 * shards))
+}
+
+// The shards of a host that fails, that knows another index or that is silent are
+// served by the host that asked.
+func TestDividedQuerySurvivesItsHelpers(t *testing.T) {
+	broken := errors.New("connection refused")
+	for name, trouble := range map[string]func(f *fleet, hosts []*gateway.Gateway){
+		"all others fail":   func(f *fleet, _ []*gateway.Gateway) { f.fail = func(string) error { return broken } },
+		"all others silent": func(f *fleet, _ []*gateway.Gateway) { f.silent = func(string) bool { return true } },
+		"others have another index": func(_ *fleet, hosts []*gateway.Gateway) {
+			for _, h := range hosts[1:] {
+				c, replicas, read := wide(2)
+				c.Routes[0].Shards = c.Routes[0].Shards[1:]
+				h.SetView(routing.NewView(c, replicas, read), 1)
+			}
+		},
+		"others know nothing yet": func(f *fleet, hosts []*gateway.Gateway) {
+			for _, h := range hosts[1:] {
+				h.SetView(routing.NewView(nil, nil, 0), 1)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f, _, hosts := newFleet(24, 100)
+				trouble(f, hosts)
+				expectWhole(g, ask(hosts[0]))
+			})
+		})
+	}
+}
+
+// A shard that no host gets a part of is counted as missing, once.
+func TestDividedQueryCountsMissingShards(t *testing.T) { synctest.Test(t, dividedQueryCountsMissingShards) }
+
+func dividedQueryCountsMissingShards(t *testing.T) {
+	g := NewWithT(t)
+	_, sender, hosts := newFleet(24, 100)
+	sender.refuse = func(endpoint string) bool { return endpoint[:3] == "s07" || endpoint[:3] == "s41" }
+	a := ask(hosts[3])
+	g.Expect(a.Code).To(Equal(result.Partial))
+	g.Expect(a.Missing).To(Equal(2))
+	g.Expect(stamps(a)).To(And(HaveLen(shards-2), Not(HaveKey("s07")), Not(HaveKey("s41"))))
+}
+
+// Where no replica ran anything the refusal says so.
+func TestDividedQueryThatDidNotRun(t *testing.T) { synctest.Test(t, dividedQueryThatDidNotRun) }
+
+func dividedQueryThatDidNotRun(t *testing.T) {
+	g := NewWithT(t)
+	_, sender, hosts := newFleet(24, 100)
+	sender.refuse = func(string) bool { return true }
+	a := ask(hosts[0])
+	g.Expect(a.Code.Class()).To(Equal(result.ClassNotRun))
+	g.Expect(a.RetryAfter).To(BeNumerically(">", 0))
+}
--- /dev/null
+++ b/internal/peerlink/peerlink_test.go
@@ -0,0 +1,117 @@
+package peerlink_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/dial"
+	"github.com/gypsumlug/gypsumlug/internal/discovery"
+	"github.com/gypsumlug/gypsumlug/internal/peerlink"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+type handler struct{ delay time.Duration }
+
+func (h handler) State(context.Context, *discovery.StateRequest) *discovery.State {
+	return &discovery.State{Revision: 7}
+}
+
+func (h handler) Part(_ context.Context, r *split.Request) *split.Reply {
+	time.Sleep(h.delay)
+	return &split.Reply{Attempts: len(r.Shards)}
+}
+
+func serve(t *testing.T, h peerlink.Handler) (string, context.CancelFunc) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go peerlink.Serve(ctx, l, h)
+	return l.Addr().String(), cancel
+}
+
+func part(shards ...int) *peerlink.Request {
+	return &peerlink.Request{Format: discovery.FormatVersion, Part: &split.Request{Shards: shards}}
+}
+
+func TestRequestsShareAConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, handler{})
+	var dials atomic.Int32
+	c := peerlink.NewClient(func(ctx context.Context, a string) (net.Conn, error) {
+		dials.Add(1)
+		return dial.TCP(ctx, a)
+	})
+	for range 5 {
+		reply, err := c.Ask(context.Background(), address, part(1, 2, 3))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Part.Attempts).To(Equal(3))
+		reply, err = c.Ask(context.Background(), address, &peerlink.Request{Format: discovery.FormatVersion, State: &discovery.StateRequest{}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.State.Revision).To(BeEquivalentTo(7))
+	}
+	g.Expect(dials.Load()).To(BeEquivalentTo(1))
+}
+
+// A reply that comes too late never answers a later request.
+func TestLateReplyAnswersNobody(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, handler{delay: 50 * time.Millisecond})
+	c := peerlink.NewClient(dial.TCP)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_, err := c.Ask(ctx, address, part(1))
+	g.Expect(err).To(HaveOccurred())
+	reply, err := c.Ask(context.Background(), address, part(1, 2))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.Part.Attempts).To(Equal(2))
+}
+
+// A kept connection whose host was restarted is replaced.
+func TestClosedConnectionIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	address, stop := serve(t, handler{})
+	c := peerlink.NewClient(dial.TCP)
+	_, err := c.Ask(context.Background(), address, part(1))
+	g.Expect(err).NotTo(HaveOccurred())
+	stop()
+	var l net.Listener
+	g.Eventually(func() error {
+		l, err = net.Listen("tcp", address)
+		return err
+	}).Should(Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go peerlink.Serve(ctx, l, handler{})
+	g.Eventually(func() error {
+		_, err := c.Ask(context.Background(), address, part(1))
+		return err
+	}).Should(Succeed())
+}
+
+// Bytes that are no request, another format and oversized frames end their
+// connection and nothing else.
+func TestBadFramesEndTheirConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, handler{})
+	for _, bytes := range []string{"GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff", "\x00\x00\x00\x02\xc1\xc1", "\x00\x00\x00\x00"} {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = conn.Write([]byte(bytes))
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = conn.Read(make([]byte, 1))
+		g.Expect(err).To(HaveOccurred())
+		_ = conn.Close()
+	}
+	c := peerlink.NewClient(dial.TCP)
+	_, err := c.Ask(context.Background(), address, &peerlink.Request{Format: discovery.FormatVersion + 1, Part: &split.Request{}})
+	g.Expect(err).To(HaveOccurred())
+	_, err = c.Ask(context.Background(), address, part())
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- /dev/null
+++ b/internal/split/split_test.go
@@ -0,0 +1,94 @@
+package split_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+func peers(n int, dataCentre string) []split.Peer {
+	var out []split.Peer
+	for i := range n {
+		out = append(out, split.Peer{Address: fmt.Sprintf("10.%s.0.%d:1", dataCentre, i), DataCentre: dataCentre})
+	}
+	return out
+}
+
+func services(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("s%d", i))
+	}
+	return out
+}
+
+// Each shard is in one group, whatever the numbers.
+func TestDealCoversEachShardOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, groups := rapid.IntRange(0, 200).Draw(t, "shards"), rapid.IntRange(1, 20).Draw(t, "groups")
+		seen := make([]int, n)
+		for _, group := range split.Deal(services(n), groups) {
+			for _, i := range group {
+				seen[i]++
+			}
+		}
+		for i, times := range seen {
+			if times != 1 {
+				t.Fatalf("shard %d is in %d groups", i, times)
+			}
+		}
+	})
+}
+
+// Today's deployments are not divided; a wide index on many hosts is, and never
+// into more groups than the data centre has hosts for.
+func TestGroups(t *testing.T) {
+	for _, tc := range []struct{ shards, hosts, want int }{
+		{20, 9, 1}, {30, 140, 1}, {90, 35, 6}, {90, 3, 1}, {90, 16, 4}, {135, 140, 9}, {0, 0, 1},
+	} {
+		table := split.NewTable(split.Peer{Address: "10.0.0.200:1", DataCentre: "a"})
+		table.SetPeers(append(peers(tc.hosts-1, "a"), peers(40, "b")...))
+		NewWithT(t).Expect(table.Groups(tc.shards)).To(Equal(tc.want), fmt.Sprint(tc))
+	}
+}
+
+// Only hosts of the own data centre are asked, those that failed not for a while.
+func TestPick(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	table := split.NewTable(split.Peer{Address: "10.0.0.200:1", DataCentre: "a"})
+	table.SetPeers(append(peers(2, "a"), peers(40, "b")...))
+	now := time.Second
+	seen := map[string]bool{}
+	for range 100 {
+		address, ok := table.Pick(now, 0, 1, rng)
+		g.Expect(ok).To(BeTrue())
+		seen[address] = true
+	}
+	g.Expect(seen).To(HaveLen(2))
+	table.Sent("10.a.0.0:1")
+	table.Ended(now, "10.a.0.0:1", false)
+	for range 50 {
+		address, _ := table.Pick(now, 0, 1, rng)
+		g.Expect(address).To(Equal("10.a.0.1:1"))
+	}
+	table.Ended(now, "10.a.0.1:1", false)
+	_, ok := table.Pick(now, 0, 1, rng)
+	g.Expect(ok).To(BeFalse())
+	_, ok = table.Pick(now+10*time.Second, 0, 1, rng)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestDigestTellsIndexesApart(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(split.Digest([]string{"a", "b"})).To(Equal(split.Digest([]string{"a", "b"})))
+	for _, other := range [][]string{{"b", "a"}, {"ab"}, {"a"}, {"a", "b", ""}, nil} {
+		g.Expect(split.Digest([]string{"a", "b"})).NotTo(Equal(split.Digest(other)))
+	}
+}
