--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -31,6 +31,8 @@
 	// StoreAddress is the platform's store, IP and port.
 	StoreAddress string `json:"store_address"`
 	MemoryMB     int    `json:"memory_mb"`
+	// Processor is the share of a processor that the host has.
+	Processor float64 `json:"processor"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
 	GraceSeconds float64 `json:"grace_s"`
 	// DrainMS is the time in which every host must know of a leaving replica.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,8 @@
 	// Incarnation tells this process's requests from those of others.
 	Incarnation uint64
 	Allowance   balance.Allowance
+	// Processor is the share of a processor that the host has.
+	Processor float64
 	// CallerLatency is the one-way time between callers and the host.
 	CallerLatency time.Duration
 	// Now is the monotonic time since the start of the process.
@@ -117,6 +119,9 @@
 
 // New returns a gateway that refuses every request until SetView.
 func New(cfg Config, rng *rand.Rand) *Gateway {
+	if cfg.Processor <= 0 {
+		cfg.Processor = 1
+	}
 	return &Gateway{cfg: cfg, ending: make(chan struct{}), beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, cfg.Self, rng)}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -103,8 +103,10 @@
 	// new connection, which takes two ways more.
 	waysKept  = 2
 	waysFresh = 4
-	// answerTime is the time to merge, write and deliver an answer.
-	answerTime = 5 * time.Millisecond
+	// answerWork is the processor time to merge, write and deliver an answer, and
+	// leastAnswerTime the least time that it takes.
+	answerWork      = 1400 * time.Microsecond
+	leastAnswerTime = 3 * time.Millisecond
 	// lateSlack is how much later than planned an answer may leave and still count
 	// as on time.
 	lateSlack = 10 * time.Millisecond
@@ -120,6 +122,7 @@
 	if r.Fresh {
 		ways = waysFresh
 	}
+	answerTime := max(time.Duration(float64(answerWork)/g.cfg.Processor), leastAnswerTime)
 	reserve := time.Duration(ways)*g.cfg.CallerLatency + answerTime
 	return max(route.Target-reserve, route.Target/leastTarget)
 }
--- a/internal/gateway/split_test.go
+++ b/internal/gateway/split_test.go
@@ -185,7 +185,9 @@
 }
 
 // A shard that no host gets a part of is counted as missing, once.
-func TestDividedQueryCountsMissingShards(t *testing.T) { synctest.Test(t, dividedQueryCountsMissingShards) }
+func TestDividedQueryCountsMissingShards(t *testing.T) {
+	synctest.Test(t, dividedQueryCountsMissingShards)
+}
 
 func dividedQueryCountsMissingShards(t *testing.T) {
 	g := NewWithT(t)
