Let the slack of extra attempts come back over its window

The budget's slack could be spent once and came back only with requests; now half of a host's share of it is a burst and half comes back over the window, so that the bound over any window is the same. Hosts that serve a group of a divided index share its allowance among fewer.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -90,7 +90,7 @@
 	h.gateway = gateway.New(gateway.Config{
 		DataCentre:    s.DataCentre,
 		Incarnation:   incarnation,
-		Allowance:     balance.Allowance{Ratio: s.ExtraRatio, Slack: s.ExtraSlack},
+		Allowance:     balance.Allowance{Ratio: s.ExtraRatio, Slack: s.ExtraSlack, Window: time.Duration(s.ExtraWindowSeconds * float64(time.Second))},
 		Processor:     s.Processor,
 		CallerLatency: time.Duration(s.CallerLatencyMS * float64(time.Millisecond)),
 		Now:           h.now,
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -42,6 +42,8 @@
 	// Extra attempts of one service over all hosts, in any window.
 	ExtraRatio float64 `json:"extra_attempts_ratio"`
 	ExtraSlack float64 `json:"extra_attempts_slack"`
+	// ExtraWindowSeconds is the window of the slack.
+	ExtraWindowSeconds float64 `json:"extra_attempts_window_s"`
 }
 
 // LoadSettings reads and checks a settings file.
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -33,8 +33,11 @@
 	table     *balance.Table
 	allowance balance.Allowance
 	hosts     int
-	budgets   map[string]*balance.Budget
-	hedges    map[string]*balance.Quantile
+	// sharers is the number of hosts that share the allowance of a service whose
+	// shards are divided; the others are shared by all.
+	sharers map[string]int
+	budgets map[string]*balance.Budget
+	hedges  map[string]*balance.Quantile
 	// throttles are by index, named by its first shard.
 	throttles map[string]*balance.Throttle
 	peers     *split.Table
@@ -66,6 +69,13 @@
 	return b.peers.Own(groups)
 }
 
+// serves reports whether this host's group serves a shard.
+func (b *beliefs) serves(service string, groups int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peers.Serves(service, groups)
+}
+
 // pickPeer chooses a host of a group and notes a request to it.
 func (b *beliefs) pickPeer(now time.Duration, group, groups int) (string, bool) {
 	b.mu.Lock()
@@ -85,10 +95,10 @@
 }
 
 // takeExtra takes an extra attempt of a service from its budget.
-func (b *beliefs) takeExtra(service string) bool {
+func (b *beliefs) takeExtra(now time.Duration, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget(service).Take()
+	return b.budget(now, service).Take(now)
 }
 
 // admit reports whether a query of an index is worth beginning, and overloaded
@@ -122,13 +132,45 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.SetReplicas(v.Replicas)
-	if hosts == b.hosts {
-		return
-	}
 	b.hosts = hosts
-	for _, budget := range b.budgets {
-		budget.Resize(b.allowance, hosts)
+	b.sharers = b.divisions(v)
+	for service, budget := range b.budgets {
+		budget.Resize(b.allowance, b.sharing(service))
+	}
+}
+
+// groupMargin is the room for groups that have more hosts than the mean.
+const groupMargin = 2
+
+// divisions returns the sharers of the services whose shards this host's group
+// serves; the caller holds mu.
+func (b *beliefs) divisions(v *routing.View) map[string]int {
+	out := make(map[string]int)
+	if v.Config == nil {
+		return out
 	}
+	for i := range v.Config.Routes {
+		shards := v.Config.Routes[i].Shards
+		groups := b.peers.Groups(len(shards))
+		if groups == 1 {
+			continue
+		}
+		for _, service := range shards {
+			if b.peers.Serves(service, groups) {
+				out[service] = min(groupMargin*b.hosts/groups+1, b.hosts)
+			}
+		}
+	}
+	return out
+}
+
+// sharing returns the number of hosts that share the allowance of a service; the
+// caller holds mu.
+func (b *beliefs) sharing(service string) int {
+	if n := b.sharers[service]; n > 0 {
+		return n
+	}
+	return b.hosts
 }
 
 // fleet returns the number of hosts that share the allowance.
@@ -145,10 +187,10 @@
 }
 
 // budget returns the budget of a service; the caller holds mu.
-func (b *beliefs) budget(service string) *balance.Budget {
+func (b *beliefs) budget(now time.Duration, service string) *balance.Budget {
 	budget := b.budgets[service]
 	if budget == nil {
-		budget = balance.NewBudget(b.allowance, b.hosts)
+		budget = balance.NewBudget(now, b.allowance, b.sharing(service))
 		b.budgets[service] = budget
 	}
 	return budget
@@ -186,6 +228,7 @@
 	*beliefs
 	route    *routing.Route
 	services []string
+	now      func() time.Duration
 }
 
 // Eligible implements query.Replicas.
@@ -218,7 +261,7 @@
 func (r requestBeliefs) Primary(shard int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budget(r.services[shard]).Primary()
+	r.budget(r.now(), r.services[shard]).Primary()
 }
 
 // TakeHedge implements query.Budgets.
@@ -230,5 +273,6 @@
 func (r requestBeliefs) take(shard int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.budget(r.services[shard]).Take()
+	now := r.now()
+	return r.budget(now, r.services[shard]).Take(now)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		groups := g.groups(route)
-		if groups > 1 && !split.In(service, g.cfg.Self, groups) {
+		if groups > 1 && !g.beliefs.serves(service, groups) {
 			return false
 		}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -78,7 +78,7 @@
 		replies: make(chan timedReply, repliesPerShard*len(plan.Services)),
 		over:    make(chan struct{}),
 	}
-	shared := requestBeliefs{beliefs: g.beliefs, route: route, services: plan.Services}
+	shared := requestBeliefs{beliefs: g.beliefs, route: route, services: plan.Services, now: g.cfg.Now}
 	run.query = query.New(query.Params{
 		ID:      run.id,
 		Service: plan.Service,
--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -200,7 +200,7 @@
 	s := &d.groups[group]
 	allowed := s.shards[:0:0]
 	for _, i := range s.shards {
-		if d.g.beliefs.takeExtra(d.plan.Services[i]) {
+		if d.g.beliefs.takeExtra(d.g.cfg.Now(), d.plan.Services[i]) {
 			allowed = append(allowed, i)
 		}
 	}
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -141,9 +141,9 @@
 	return out
 }
 
-// In reports whether a service is in the group of a host.
-func In(service string, host Peer, groups int) bool {
-	return groupOf(service, groups) == groupOf(host.Address, groups)
+// Serves reports whether a service is in the group of this host.
+func (t *Table) Serves(service string, groups int) bool {
+	return groupOf(service, groups) == t.Own(groups)
 }
 
 func groupOf(name string, groups int) int { return int(xxhash.Sum64String(name) % uint64(groups)) }
