--- /dev/null
+++ b/internal/gateway/merge.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+// merged is what the groups of a divided query brought.
+type merged struct {
+	// parts are the shards' signatures, and records the groups' records.
+	parts    []*dispatch.Response
+	records  []*dispatch.Response
+	covered  int
+	attempts int
+	// mayHaveRun tells that an endpoint may have run the request, refused that a
+	// replica refused a shard that is missing.
+	mayHaveRun bool
+	refused    bool
+}
+
+// merge collects the best results of the groups. A group without one may still be
+// running.
+func (d *division) merge() merged {
+	var m merged
+	for i := range d.groups {
+		s := &d.groups[i]
+		if s.best != nil {
+			m.add(s.best)
+		} else if s.open > 0 {
+			m.mayHaveRun = true
+		}
+	}
+	return m
+}
+
+func (m *merged) add(r *split.Reply) {
+	m.covered += len(r.Stamps)
+	m.attempts += r.Attempts
+	m.mayHaveRun = m.mayHaveRun || r.MayHaveRun || len(r.Stamps) > 0
+	m.records = append(m.records, &dispatch.Response{Body: r.Records})
+	for _, stamp := range r.Stamps {
+		m.parts = append(m.parts, &dispatch.Response{Stamp: stamp})
+	}
+	for _, x := range r.Missing {
+		m.refused = m.refused || x.Code == result.MissingRefused
+	}
+}
+
+// finish answers the caller with what the groups brought. present is false if the
+// caller left.
+func (d *division) finish(present bool) Answer {
+	m := d.merge()
+	out := Answer{Code: result.CallerGone}
+	if present {
+		out = d.answer(&m)
+	}
+	if onTime := len(out.Parts) > 0; onTime || m.refused {
+		d.g.beliefs.answered(d.g.cfg.Now(), d.route, onTime)
+	}
+	d.record(out.Code, &m)
+	return out
+}
+
+func (d *division) answer(m *merged) Answer {
+	missing := len(d.plan.Services) - m.covered
+	switch {
+	case m.covered >= max(d.route.LeastShards, 1) && missing > 0:
+		return Answer{Code: result.Partial, Parts: m.parts, Missing: missing, Records: query.MergeRecords(m.records, d.route.TopRecords)}
+	case missing == 0:
+		return Answer{Code: result.Complete, Parts: m.parts, Records: query.MergeRecords(m.records, d.route.TopRecords)}
+	case m.mayHaveRun:
+		return Answer{Code: result.OutcomeUnknown}
+	default:
+		return Answer{Code: result.AllRefused, RetryAfter: d.g.retryAfter(d.request.Patience)}
+	}
+}
+
+func (d *division) record(code result.Code, m *merged) {
+	now := d.g.cfg.Now()
+	d.g.cfg.Recorder.Answered(Ended{
+		RequestID: d.request.Message.ID,
+		Route:     d.route.Name,
+		Code:      code,
+		Took:      now - d.started,
+		Left:      d.target,
+		Target:    d.target,
+		Shards:    len(d.plan.Services),
+		Covered:   m.covered,
+		Attempts:  m.attempts,
+		Version:   d.view.Config.Version,
+		ViewAge:   now - d.view.Read,
+		Hosts:     d.g.beliefs.fleet(),
+	})
+}
--- /dev/null
+++ b/internal/gateway/part.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/query"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+// ServePart answers another host for some shards of a query.
+func (g *Gateway) ServePart(ctx context.Context, r *split.Request) *split.Reply {
+	v := g.view.Load()
+	if v == nil || v.Config == nil {
+		return &split.Reply{Code: result.NotReady}
+	}
+	route := v.Config.Named(r.Route)
+	if route == nil {
+		return &split.Reply{Code: result.NotFound}
+	}
+	plan := v.Plan(route, "")
+	if plan == nil || plan.Digest != r.Index || len(r.Shards) == 0 {
+		return &split.Reply{Code: result.NoReplica}
+	}
+	for _, i := range r.Shards {
+		if i < 0 || i >= len(plan.Services) {
+			return &split.Reply{Code: result.InvalidValue}
+		}
+	}
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	return g.serveShards(ctx, &Request{Message: r.Message}, v, route, plan, r.Shards, r.Target)
+}
+
+// serveShards serves some shards of a route from this host within a time.
+func (g *Gateway) serveShards(ctx context.Context, r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, shards []int, left time.Duration) *split.Reply {
+	run := g.newPartRun(r, v, route, subPlan(plan, shards), left)
+	a := run.drive(ctx)
+	if a == nil {
+		return nil
+	}
+	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: query.MergeRecords(a.Responses, route.TopRecords)}
+	for _, p := range a.Responses {
+		reply.Stamps = append(reply.Stamps, p.Stamp)
+	}
+	for _, m := range a.Missing {
+		reply.Missing = append(reply.Missing, split.Missing{Shard: shards[int(m.Range.Start)], Code: m.Code})
+	}
+	return reply
+}
+
+// subPlan returns the plan of some shards.
+func subPlan(plan *routing.Plan, shards []int) *routing.Plan {
+	whole := plan.Index.Snapshots[0]
+	snapshot := config.Snapshot{ID: whole.ID, Shards: make([]config.Shard, len(shards))}
+	services := make([]string, len(shards))
+	for i, s := range shards {
+		snapshot.Shards[i] = config.Shard{Range: whole.Shards[i].Range, Replicas: whole.Shards[s].Replicas}
+		services[i] = plan.Services[s]
+	}
+	return &routing.Plan{
+		Service:  plan.Service,
+		Index:    &config.Index{Service: plan.Index.Service, Snapshots: []config.Snapshot{snapshot}},
+		Services: services,
+	}
+}
