--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -112,6 +113,9 @@
 // Part implements gateway.Peers.
 func (p partClient) Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error) {
 	reply, err := p.peers.Ask(ctx, address, &peerlink.Request{Format: discovery.FormatVersion, Part: r})
+	if errors.Is(err, peerlink.ErrNotSent) {
+		return nil, gateway.ErrNotTaken
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
@@ -41,20 +42,13 @@
 	idleSince time.Time
 	// idleLimit is the replica's idle timeout, or zero if it is unknown.
 	idleLimit time.Duration
-	raw       syscall.RawConn
-	look      func(fd uintptr) bool
-	open      bool
+	look      *dial.Look
 }
 
 func newConn(raw net.Conn) *conn {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(raw)
-	c := &conn{Conn: raw, reader: r, idleSince: time.Now()}
-	if tcp, ok := raw.(syscall.Conn); ok {
-		c.raw, _ = tcp.SyscallConn()
-	}
-	c.look = c.peek
-	return c
+	return &conn{Conn: raw, reader: r, idleSince: time.Now(), look: dial.NewLook(raw)}
 }
 
 func (c *conn) close() {
@@ -75,23 +69,7 @@
 	}
 	// The deadline of the last request, which may have passed, would fail the look.
 	_ = c.SetDeadline(deadline)
-	return c.reader.Buffered() == 0 && c.quiet()
-}
-
-func (c *conn) quiet() bool {
-	if c.raw == nil {
-		return true
-	}
-	c.open = false
-	err := c.raw.Read(c.look)
-	return err == nil && c.open
-}
-
-func (c *conn) peek(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	c.open = err == syscall.EAGAIN
-	return true
+	return c.reader.Buffered() == 0 && c.look.Quiet()
 }
 
 // exchange writes the attempt once and reads its response.
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -94,13 +94,6 @@
 	b.peers.Ended(now, address, ok)
 }
 
-// takeExtra takes an extra attempt of a service from its budget.
-func (b *beliefs) takeExtra(now time.Duration, service string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget(now, service).Take(now)
-}
-
 // admit reports whether a query of an index is worth beginning, and overloaded
 // whether some are not.
 func (b *beliefs) admit(now time.Duration, route *routing.Route) (admitted, overloaded bool) {
--- a/internal/gateway/division.go
+++ b/internal/gateway/division.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
+// ErrNotTaken tells that a host provably did not take a request.
+var ErrNotTaken = errors.New("request not taken")
+
 // Peers asks other hosts for parts of queries.
 type Peers interface {
-	// Part asks a host; an error tells that no reply came.
+	// Part asks a host; an error tells that no reply came. It is ErrNotTaken if the
+	// request did not reach the host.
 	Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error)
 }
 
@@ -19,9 +24,6 @@
 	hopTime = 11 * time.Millisecond
 	// mergeTime is the time in which this host's own parts reach the merge.
 	mergeTime = 3 * time.Millisecond
-	// failoverDivisor gives the time without a reply after which a host serves
-	// another one's shards itself, as a part of the target.
-	failoverDivisor = 2
 )
 
 // division is a query that is divided among hosts. It belongs to the goroutine
@@ -43,10 +45,8 @@
 type groupState struct {
 	shards []int
 	best   *split.Reply
-	// open counts the tries without a result, of this host and others.
-	open int
-	// own tells that this host tries.
-	own bool
+	// open tells that a host has the request and did not reply.
+	open bool
 }
 
 type groupResult struct {
@@ -98,7 +98,7 @@
 	if !ok {
 		return false
 	}
-	d.groups[group].open++
+	d.groups[group].open = true
 	request := &split.Request{
 		Index:   d.plan.Digest,
 		Route:   d.route.Name,
@@ -110,7 +110,7 @@
 		reply, err := d.g.cfg.Peers.Part(ctx, address, request)
 		ok := err == nil && reply != nil && reply.Code == 0
 		d.g.beliefs.peerEnded(d.g.cfg.Now(), address, ok || ctx.Err() != nil && err != nil && !late(ctx))
-		refused := reply != nil && reply.Code != 0
+		refused := reply != nil && reply.Code != 0 || errors.Is(err, ErrNotTaken)
 		if !ok {
 			reply = nil
 		}
@@ -122,17 +122,11 @@
 // late reports whether a context ended by its deadline.
 func late(ctx context.Context) bool { return context.Cause(ctx) == context.DeadlineExceeded }
 
-// serveHere serves a group's shards from this host.
+// serveHere serves a group's shards from this host, to end just before the merge.
 func (d *division) serveHere(ctx context.Context, group int) {
 	s := &d.groups[group]
-	s.open++
-	s.own = true
-	d.serveShards(ctx, group, s.shards)
-}
-
-// serveShards serves some shards of a group from this host, to end just before
-// the merge.
-func (d *division) serveShards(ctx context.Context, group int, shards []int) {
+	s.open = true
+	shards := s.shards
 	left := d.target - mergeTime - (d.g.cfg.Now() - d.started)
 	go func() {
 		d.results <- groupResult{group: group, reply: d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)}
@@ -142,16 +136,12 @@
 // collect waits for the groups until the target. It returns false if the caller
 // left.
 func (d *division) collect(ctx context.Context) bool {
-	failover := time.NewTimer(d.target / failoverDivisor)
-	defer failover.Stop()
 	end := time.NewTimer(d.target)
 	defer end.Stop()
 	for d.pending > 0 {
 		select {
 		case r := <-d.results:
 			d.take(ctx, r)
-		case <-failover.C:
-			d.failOver(ctx)
 		case <-end.C:
 			return true
 		case <-d.g.ending:
@@ -163,50 +153,17 @@
 	return true
 }
 
-// take notes a group's result. A host that failed is replaced by this one.
+// take notes a group's result. This host takes the place of one that provably did
+// not take the request; the shards of one that was lost are missing, since its
+// replicas count towards those that the request may be sent to.
 func (d *division) take(ctx context.Context, r groupResult) {
 	s := &d.groups[r.group]
-	s.open--
-	if r.reply != nil && (s.best == nil || len(r.reply.Stamps) > len(s.best.Stamps)) {
-		s.best = r.reply
-	}
+	s.open = false
+	s.best = r.reply
 	switch {
-	case s.best != nil && len(s.best.Missing) == 0, s.open == 0 && s.own:
-		d.pending--
-		s.own = true
-	case s.open == 0 && r.refused:
+	case r.refused:
 		d.serveHere(ctx, r.group)
-	case s.open == 0:
-		d.replace(ctx, r.group)
-	}
-}
-
-// failOver serves the groups that have no reply by now.
-func (d *division) failOver(ctx context.Context) {
-	for i := range d.groups {
-		if s := &d.groups[i]; s.open > 0 && s.best == nil && !s.own {
-			d.replace(ctx, i)
-		}
-	}
-}
-
-// replace serves a group here in place of another host, within the budget, since
-// the replicas may have had the request from there.
-func (d *division) replace(ctx context.Context, group int) {
-	s := &d.groups[group]
-	allowed := s.shards[:0:0]
-	for _, i := range s.shards {
-		if d.g.beliefs.takeExtra(d.g.cfg.Now(), d.plan.Services[i]) {
-			allowed = append(allowed, i)
-		}
-	}
-	s.own = true
-	if len(allowed) == 0 {
-		if s.open == 0 {
-			d.pending--
-		}
-		return
+	default:
+		d.pending--
 	}
-	s.open++
-	d.serveShards(ctx, group, allowed)
 }
--- a/internal/gateway/merge.go
+++ b/internal/gateway/merge.go
@@ -28,7 +28,7 @@
 		s := &d.groups[i]
 		if s.best != nil {
 			m.add(s.best)
-		} else if s.open > 0 {
+		} else if s.open {
 			m.mayHaveRun = true
 		}
 	}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -111,19 +112,19 @@
 	return &Client{dial: open, idle: make(map[string][]idleConn)}
 }
 
-// Ask sends a request to a host and returns its reply. A connection that fails is
-// closed; a kept one that the other side has closed is replaced once.
+// ErrNotSent tells that a request provably did not reach the host.
+var ErrNotSent = errors.New("peer not reached")
+
+// Ask sends a request to a host once and returns its reply. The error is
+// ErrNotSent if no connection could be opened.
 func (c *Client) Ask(ctx context.Context, address string, r *Request) (*Reply, error) {
-	if conn := c.take(address); conn != nil {
-		reply, err := c.exchange(ctx, address, conn, r)
-		if err == nil || !errors.Is(err, io.EOF) || ctx.Err() != nil {
-			return reply, err
+	conn := c.take(address)
+	if conn == nil {
+		var err error
+		if conn, err = c.dial(ctx, address); err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 		}
 	}
-	conn, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, eris.Wrap(err, "dial peer")
-	}
 	return c.exchange(ctx, address, conn, r)
 }
 
@@ -154,7 +155,8 @@
 	for conns := c.idle[address]; len(conns) > 0; conns = c.idle[address] {
 		last := conns[len(conns)-1]
 		c.idle[address] = conns[:len(conns)-1]
-		if time.Since(last.since) < idleTimeout-idleReserve {
+		_ = last.SetDeadline(time.Time{})
+		if time.Since(last.since) < idleTimeout-idleReserve && dial.NewLook(last.Conn).Quiet() {
 			return last.Conn
 		}
 		_ = last.Close()
