--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -13,10 +13,12 @@
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
+// init sets the library's format of times once, since it is shared by all loggers.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // NewLogger returns a logger that writes one line of key=value pairs an event.
 // An unknown level means info.
 func NewLogger(w io.Writer, level string) zerolog.Logger {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		parsed = zerolog.InfoLevel
