--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -226,6 +226,12 @@
 	if r.Outcome == dispatch.Failed && r.Response != nil {
 		q.failure = r.Response
 	}
+	if r.Outcome == dispatch.Unknown && now >= q.p.Deadline {
+		// The attempt ended with the query's time, not by a fault of its own.
+		s.reason = 0
+		q.expire()
+		return q.take()
+	}
 	if r.Outcome == dispatch.OK && !q.valid(s, &r) {
 		q.event(EventWrongSnapshot, r.Code)
 		r.Outcome, r.Code = dispatch.Failed, result.BadReply
