--- a/api/admin/admin.go
+++ b/api/admin/admin.go
@@ -90,8 +90,8 @@
 	Self     bool   `json:"self"`
 	// Alive tells whether the host is believed alive.
 	Alive bool `json:"alive"`
-	// Listed tells whether the platform lists it.
-	Listed bool `json:"listed"`
+	// Seed tells whether the host's settings name it.
+	Seed bool `json:"seed"`
 	// AgeMS is the time since the host itself was heard, over all hops, in
 	// milliseconds; it is -1 if it never was.
 	AgeMS int64 `json:"age_ms"`
--- a/cmd/gypsumlug/fleet.go
+++ b/cmd/gypsumlug/fleet.go
@@ -19,9 +19,9 @@
 		return err
 	}
 	return env.print(hosts, func(t table.Writer) {
-		t.AppendHeader(table.Row{"host", "data centre", "state", "alive", "listed", "revision", "heard", "start"})
+		t.AppendHeader(table.Row{"host", "data centre", "state", "alive", "seed", "revision", "heard", "start"})
 		for _, h := range hosts.Hosts {
-			t.AppendRow(table.Row{h.Address, h.DataCentre, h.State, h.Alive, h.Listed, h.Revision, heard(h), h.Start})
+			t.AppendRow(table.Row{h.Address, h.DataCentre, h.State, h.Alive, h.Seed, h.Revision, heard(h), h.Start})
 		}
 	})
 }
--- a/internal/adminapi/convert.go
+++ b/internal/adminapi/convert.go
@@ -70,7 +70,7 @@
 	for _, e := range s.Hosts {
 		h := hostOf(e.Host)
 		h.Alive = e.Alive
-		h.Listed = e.Listed
+		h.Seed = e.Seed
 		h.AgeMS = -1
 		if e.Heard {
 			h.AgeMS = e.Age.Milliseconds()
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -23,7 +23,7 @@
 }
 
 // messagePackages hold messages that decision packages exchange with adapters.
-var messagePackages = []string{"../api", "peerwire", "platformapi"}
+var messagePackages = []string{"../api", "peerwire"}
 
 // allowedStandard are the standard packages that a decision package may import.
 // None does I/O or starts a goroutine.
--- a/internal/arch/platform_test.go
+++ b/internal/arch/platform_test.go
@@ -72,14 +72,17 @@
 	}
 }
 
-// Only the wiring of an entry host may import the adapter.
+// importers are the packages that may import the adapter: the wiring of the two
+// daemons, and the stand-ins, which serve its protocol.
+var importers = map[string]bool{"entryhost": true, "daemon": true, "standin": true}
+
 func TestOnlyTheWiringImportsTheAdapter(t *testing.T) {
 	for _, file := range goFiles(t, filepath.Join(root, "internal")) {
 		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 		for _, spec := range parsed.Imports {
 			name, _ := strconv.Unquote(spec.Path.Value)
-			allowed := strings.Contains(file, "entryhost") || strings.HasSuffix(file, "_test.go")
+			allowed := importers[filepath.Base(filepath.Dir(file))] || strings.HasSuffix(file, "_test.go")
 			if strings.HasPrefix(name, platformPath) && !allowed {
 				t.Errorf("%s imports %s", file, name)
 			}
--- a/internal/capacity/slopes_host_test.go
+++ b/internal/capacity/slopes_host_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -18,7 +17,6 @@
 
 	"github.com/gypsumlug/gypsumlug/api"
 	"github.com/gypsumlug/gypsumlug/internal/load"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
 )
@@ -73,27 +71,14 @@
 	}
 	defer d.Close()
 	fmt.Println(d.Platform.Address())
-	scanner := bufio.NewScanner(os.Stdin)
-	for scanner.Scan() {
-		// Each line replaces the list of hosts.
-		setHosts(d, scanner.Bytes())
-		fmt.Println("ok")
-	}
-}
-
-func setHosts(d *standin.Deployment, line []byte) {
-	var hosts []platformapi.HostEntry
-	if err := json.Unmarshal(line, &hosts); err != nil {
+	if _, err := io.Copy(io.Discard, os.Stdin); err != nil {
 		panic(err)
 	}
-	d.Platform.SetHosts(hosts)
 }
 
 // standIns is the process of the stand-ins.
 type standIns struct {
 	platform string
-	input    io.Writer
-	output   *bufio.Reader
 }
 
 func startStandIns(b *testing.B, shape string) *standIns {
@@ -109,25 +94,9 @@
 		_ = input.Close()
 		_ = command.Wait()
 	})
-	s := &standIns{input: input, output: bufio.NewReader(output)}
-	s.platform = s.readLine(b)
-	return s
-}
-
-func (s *standIns) readLine(b *testing.B) string {
-	b.Helper()
-	line, err := s.output.ReadString('\n')
-	check(b, err)
-	return strings.TrimSpace(line)
-}
-
-func (s *standIns) list(b *testing.B, hosts []platformapi.HostEntry) {
-	b.Helper()
-	line, err := json.Marshal(hosts)
-	check(b, err)
-	_, err = fmt.Fprintf(s.input, "%s\n", line)
+	line, err := bufio.NewReader(output).ReadString('\n')
 	check(b, err)
-	s.readLine(b)
+	return &standIns{platform: strings.TrimSpace(line)}
 }
 
 func check(b *testing.B, err error) {
@@ -167,7 +136,6 @@
 		Platform:    ends.platform,
 		DataCentres: []string{benchmarkDataCentre},
 		Hosts:       hosts,
-		List:        func(all []platformapi.HostEntry) { ends.list(b, all) },
 	})
 	check(b, err)
 	defer fleet.Close()
--- a/internal/capacity/slopes_idle_test.go
+++ b/internal/capacity/slopes_idle_test.go
@@ -11,7 +11,6 @@
 	"testing"
 
 	"github.com/gypsumlug/gypsumlug/internal/load"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 )
 
 // idleVariable makes the test binary run one host that reads the platform at the
@@ -23,7 +22,6 @@
 // daemon.
 func BenchmarkSlopeIdle(b *testing.B) {
 	ends := startStandIns(b, "direct")
-	ends.list(b, nil)
 	for b.Loop() {
 		command := exec.Command(os.Args[0])
 		command.Env = append(os.Environ(), idleVariable+"="+ends.platform)
@@ -41,7 +39,6 @@
 		Platform:    platform,
 		DataCentres: []string{benchmarkDataCentre},
 		Hosts:       1,
-		List:        func([]platformapi.HostEntry) {},
 	})
 	if err != nil {
 		panic(err)
--- a/internal/control/actions.go
+++ b/internal/control/actions.go
@@ -20,8 +20,6 @@
 	Watches []Watch
 	// FetchDocuments end in Document.
 	FetchDocuments []FetchDocument
-	// FetchHosts asks for the platform's host list and ends in Hosts.
-	FetchHosts bool
 	// View is the new view to publish, or nil.
 	View *view.View
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,9 +4,9 @@
 //
 // The machine does no I/O. The adapter calls it from one goroutine with events
 // and the monotonic time since process start, and carries out the returned
-// [Actions]. Each fetch and watch must be ended by exactly one call of Manifest,
-// Document or Hosts, with an error if it failed; the machine also gives up by
-// itself after a timeout. Tick must be called when Next has passed.
+// [Actions]. Each fetch and watch must be ended by exactly one call of Manifest or
+// Document, with an error if it failed; the machine also gives up by itself after
+// a timeout. Tick must be called when Next has passed.
 //
 // Invariants: the revision in force never falls; a leaving hint's life never
 // grows on its way between hosts; the cost of a host (heartbeats, hints, calls
@@ -19,7 +19,6 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/configuration"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/roster"
 	"github.com/gypsumlug/gypsumlug/internal/view"
@@ -61,7 +60,8 @@
 type Config struct {
 	// Quarantine must not be nil.
 	Quarantine Quarantine
-	// Seeds are peer addresses that are tried besides the platform's list.
+	// Seeds are peer addresses through which the host finds the others; some may
+	// be stale.
 	Seeds []string
 	// StartWait is how long the host waits for peers and platform before it is
 	// ready with what it has; zero means SyncWait.
@@ -134,9 +134,8 @@
 	m.started = true
 	m.lastTick = now
 	m.sync.begin(now)
-	m.heartbeatAt = now + m.jitter(HeartbeatInterval)
+	m.heartbeatAt = now
 	m.fetch.pollAt = now + m.jitter(StartJitter)
-	m.fetch.hostsAt = now + m.jitter(StartJitter)
 	m.roster.SetSeeds(now, m.cfg.Seeds)
 	m.urgent = true
 }
@@ -164,7 +163,7 @@
 	if !m.started {
 		return 0
 	}
-	at := min(m.heartbeatAt, m.fetch.hostsAt, m.fetch.pollAt, now+HeartbeatInterval)
+	at := min(m.heartbeatAt, m.fetch.pollAt, now+HeartbeatInterval)
 	if m.pushAt != 0 {
 		at = min(at, m.pushAt)
 	}
@@ -243,29 +242,6 @@
 	return m.end(now, a, false)
 }
 
-// Hosts takes the platform's host list, or the failure to fetch it.
-func (m *Machine) Hosts(now time.Duration, entries []platformapi.HostEntry, err error) Actions {
-	a := m.begin(now)
-	m.fetch.hostsPending = 0
-	m.fetch.listed = true
-	if err != nil {
-		m.platformFailed(err)
-		if !m.sync.done {
-			m.fetch.hostsAt = now + m.backoff(&m.fetch.hostsBackoff)
-		}
-		return m.end(now, a, false)
-	}
-	m.fetch.hostsBackoff = 0
-	m.roster.SetList(now, entries)
-	m.roster.Tick(now)
-	m.fetch.hostsAt = now + m.hostsInterval(now)
-	if !m.sync.done {
-		m.heartbeatAt = now
-		m.beat(now, &a)
-	}
-	return m.end(now, a, false)
-}
-
 // ManifestBytes returns the manifest in force for peers, or nil.
 func (m *Machine) ManifestBytes() []byte { return m.store.ManifestBytes() }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -249,16 +249,16 @@
 	Expect(f.Status(f.Hosts[0]).Alone).To(BeTrue())
 })
 
-var _ = DescribeTable("a host that the platform doesn't list, while the platform is down",
+var _ = DescribeTable("a host that starts while the platform is down",
 	func(seeded bool) {
 		f := controlfleet.New(4, 1, 1)
-		f.Platform.List = f.Platform.List[:3]
 		f.Platform.Publish(shape.Build(1, 0))
 		for _, h := range f.Hosts[:3] {
 			f.Start(h)
 		}
 		f.Run(time.Minute, nil)
 		f.Platform.Down = true
+		f.Seeds = nil
 		if seeded {
 			f.Seeds = []string{f.Hosts[0].Address}
 		}
--- a/internal/control/documents.go
+++ b/internal/control/documents.go
@@ -100,7 +100,7 @@
 		m.counts.PeerFetches++
 		return Source{Peer: peers[m.rng.IntN(len(peers))]}, true
 	}
-	if !m.fetch.listed {
+	if !m.acquainted(now) {
 		return Source{}, false
 	}
 	perSecond, burst := float64(fleetCallsPerSecond)/float64(m.roster.Known()+1), float64(fleetBurst)
--- a/internal/control/fetch.go
+++ b/internal/control/fetch.go
@@ -9,8 +9,6 @@
 	watchWait = 30 * time.Second
 	// watchPause is the least time between two watches.
 	watchPause = 200 * time.Millisecond
-	// watcherHostsInterval is how often a watcher reads the host list.
-	watcherHostsInterval = 30 * time.Second
 	// minPollInterval, maxPollInterval and pollPerHost give the interval of the
 	// polls that back the watches up. It grows with the number of known hosts, so
 	// that the fleet's polls a second don't.
@@ -22,31 +20,29 @@
 	// the interval of the polls.
 	minBackoff = time.Second
 	maxBackoff = 15 * time.Second
-	// watchGrace is how long after its start a host counts listed hosts as
-	// watchers that it hasn't heard yet.
-	watchGrace = 15 * time.Second
+	// acquaintWait is how long a host that starts listens to heartbeats before it
+	// reads from the platform by what it knows of the fleet.
+	acquaintWait = 3 * HeartbeatInterval
 )
 
 // fetches holds the timers and the calls in flight.
 type fetches struct {
-	pollAt, hostsAt, watchAt time.Duration
+	pollAt, watchAt time.Duration
 	// Pending calls hold the time when they are given up; zero means none.
-	pollPending, hostsPending, watchPending, peerPending time.Duration
-	pollBackoff, hostsBackoff, watchBackoff              time.Duration
+	pollPending, watchPending, peerPending time.Duration
+	pollBackoff, watchBackoff              time.Duration
 	// peerRetryAt is when a revision known from hints is fetched again.
 	peerRetryAt time.Duration
-	// listed tells that the first host list was read or failed.
-	listed     bool
-	platformUp bool
-	watching   bool
-	documents  documentFetches
+	platformUp  bool
+	watching    bool
+	documents   documentFetches
 }
 
 func (f *fetches) init() { f.documents.init() }
 
 // expire gives up calls that did not end.
 func (f *fetches) expire(now time.Duration, counts *Counts) {
-	for _, pending := range []*time.Duration{&f.pollPending, &f.hostsPending, &f.watchPending} {
+	for _, pending := range []*time.Duration{&f.pollPending, &f.watchPending} {
 		if *pending != 0 && now >= *pending {
 			*pending = 0
 			counts.PlatformFailures++
@@ -59,15 +55,14 @@
 	counts.PeerFailures += f.documents.expire(now)
 }
 
+// acquainted tells whether the host knows of enough others to take only its
+// share of the calls, or of none at all.
+func (m *Machine) acquainted(now time.Duration) bool {
+	return m.roster.Known() == 0 || now-m.sync.since >= min(acquaintWait, m.cfg.StartWait)
+}
+
 // schedule starts the calls that are due.
 func (m *Machine) schedule(now time.Duration, a *Actions) {
-	f := &m.fetch
-	if now >= f.hostsAt && f.hostsPending == 0 {
-		f.hostsPending = now + fetchTimeout
-		f.hostsAt = now + m.hostsInterval(now)
-		m.counts.PlatformCalls++
-		a.FetchHosts = true
-	}
 	m.schedulePoll(now, a)
 	m.scheduleWatch(now, a)
 	m.followHints(now, a)
@@ -94,7 +89,7 @@
 // scheduleWatch keeps one watch open while this host is a watcher.
 func (m *Machine) scheduleWatch(now time.Duration, a *Actions) {
 	f := &m.fetch
-	f.watching = f.listed && m.roster.Watches(m.store.Revision(), now < watchGrace)
+	f.watching = m.acquainted(now) && m.roster.Watches(m.store.Revision())
 	if !f.watching || f.watchPending != 0 || now < f.watchAt || m.store.Candidate() != 0 {
 		return
 	}
@@ -131,13 +126,6 @@
 	return m.spread(min(max(interval, minPollInterval), maxPollInterval))
 }
 
-func (m *Machine) hostsInterval(now time.Duration) time.Duration {
-	if m.roster.Watches(m.store.Revision(), now < watchGrace) {
-		return m.spread(watcherHostsInterval)
-	}
-	return m.pollInterval()
-}
-
 // spread returns d with a jitter of a quarter to either side.
 func (m *Machine) spread(d time.Duration) time.Duration {
 	return d*3/4 + m.jitter(d/2)
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// heal ends all faults, and lets every host read the host list.
+// heal ends all faults, and lets every host hear of the others.
 func (s *storm) heal() {
 	s.Cut = nil
 	s.Platform.Down = false
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -74,8 +74,7 @@
 	if s.refreshing {
 		return s.peerAnswered || s.platformAnswered
 	}
-	noPeers := m.fetch.listed && m.roster.Known() == 0
-	return s.platformAsked && (s.peerAnswered || s.platformAnswered && noPeers)
+	return s.platformAsked && (s.peerAnswered || s.platformAnswered && m.roster.Known() == 0)
 }
 
 // assignmentKey tells what an assignment was worked out from.
--- a/internal/controlfleet/fleet.go
+++ b/internal/controlfleet/fleet.go
@@ -11,7 +11,6 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/control"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/view"
 )
@@ -22,6 +21,8 @@
 	delaySpread = 3 * time.Millisecond
 	// checkEvery is how often Run asks whether it is done.
 	checkEvery = 10 * time.Millisecond
+	// seeds is the number of hosts that the settings of all name.
+	seeds = 3
 	// failDelay is when a call that reaches nobody fails.
 	failDelay = 500 * time.Millisecond
 )
@@ -76,7 +77,9 @@
 		h := &Host{Address: fmt.Sprintf("10.%d.%d.%d:7000", i%centres, i/200, i%200+1), DataCentre: Centre(i % centres)}
 		f.Hosts = append(f.Hosts, h)
 		f.byAddress[h.Address] = h
-		f.Platform.List = append(f.Platform.List, platformapi.HostEntry{Address: h.Address, DataCentre: h.DataCentre, State: platformapi.HostLive})
+	}
+	for _, h := range f.Hosts[:min(seeds, hosts)] {
+		f.Seeds = append(f.Seeds, h.Address)
 	}
 	return f
 }
--- a/internal/controlfleet/fleet_test.go
+++ b/internal/controlfleet/fleet_test.go
@@ -9,6 +9,22 @@
 	"github.com/gypsumlug/gypsumlug/internal/controlfleet"
 )
 
+// peakCallsASecond is what the platform serves all readers, of the design size.
+const peakCallsASecond = 2000
+
+// TestFleetThatStartsSparesThePlatform starts hosts that know nothing of each
+// other but a few seeds, with a configuration of many documents.
+func TestFleetThatStartsSparesThePlatform(t *testing.T) {
+	const hosts = 95
+	g := NewWithT(t)
+	shape := controlfleet.Shape{Services: 52, Endpoints: 583, Centres: 6}
+	f := controlfleet.New(hosts, 6, 1)
+	f.Platform.Publish(shape.Build(1, 1))
+	f.StartAll(time.Second)
+	g.Expect(f.Run(time.Minute, func() bool { return f.Ready() == hosts })).To(BeTrue())
+	g.Expect(f.Platform.PeakCalls).To(BeNumerically("<", peakCallsASecond))
+}
+
 // TestFleetStaysWithinTargets holds the counts, which virtual time makes exact,
 // against the targets of the design size. Processor time is left to benchmarks.
 func TestFleetStaysWithinTargets(t *testing.T) {
@@ -17,7 +33,6 @@
 		window            = 30 * time.Second
 		spreadTarget      = 15 * time.Second
 		callsPerSecond    = 100
-		peakCallsASecond  = 2000
 		controlBytesLimit = 30_000
 	)
 	g := NewWithT(t)
--- a/internal/controlfleet/network.go
+++ b/internal/controlfleet/network.go
@@ -24,9 +24,6 @@
 	for _, d := range a.FetchDocuments {
 		f.fetchDocument(h, d)
 	}
-	if a.FetchHosts {
-		f.Platform.hosts(h)
-	}
 }
 
 func (f *Fleet) cut(from, to string) bool { return f.Cut != nil && f.Cut(from, to) }
--- a/internal/controlfleet/platform.go
+++ b/internal/controlfleet/platform.go
@@ -5,7 +5,6 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/control"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 )
 
 // Platform stands in for the platform's service.
@@ -17,8 +16,6 @@
 	Documents map[string][]byte
 	// Corrupt changes a value on its way, if it isn't nil.
 	Corrupt func([]byte) []byte
-	// List is the host list.
-	List []platformapi.HostEntry
 	// Calls counts the calls that reached the platform or failed.
 	Calls int
 	// PeakCalls is the largest number of calls in one second.
@@ -103,12 +100,6 @@
 	p.call(h, func() []byte { return p.Documents[hash] }, answer)
 }
 
-func (p *Platform) hosts(h *Host) {
-	p.call(h, func() []byte { return nil }, func(_ []byte, err error) {
-		p.fleet.step(h, func(now time.Duration) control.Actions { return h.Machine.Hosts(now, p.List, err) })
-	})
-}
-
 func (p *Platform) watch(h *Host, w control.Watch) {
 	waiting := &waiter{host: h, run: h.run, after: w.After}
 	p.count()
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/gypsumlug/gypsumlug/api"
 	"github.com/gypsumlug/gypsumlug/internal/daemon"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/settings"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
 	"github.com/gypsumlug/gypsumlug/internal/testsuite"
@@ -67,7 +66,6 @@
 	}, zerolog.New(GinkgoWriter).With().Str("host", peerAddress).Logger())
 	Expect(err).NotTo(HaveOccurred())
 	c.hosts = append(c.hosts, h)
-	c.publishHosts()
 	return h
 }
 
@@ -80,7 +78,7 @@
 	return out
 }
 
-// stop ends a host gracefully; it is in the list until it has ended.
+// stop ends a host gracefully.
 func (c *cluster) stop(h *daemon.Daemon) {
 	GinkgoHelper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -97,15 +95,6 @@
 
 func (c *cluster) remove(h *daemon.Daemon) {
 	c.hosts = slices.DeleteFunc(c.hosts, func(other *daemon.Daemon) bool { return other == h })
-	c.publishHosts()
-}
-
-func (c *cluster) publishHosts() {
-	var list []platformapi.HostEntry
-	for _, h := range c.hosts {
-		list = append(list, platformapi.HostEntry{Address: h.PeerAddress(), DataCentre: "dc1", State: platformapi.HostLive})
-	}
-	c.Platform.SetHosts(list)
 }
 
 func (c *cluster) waitReady() {
--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -100,7 +100,7 @@
 			end := watchRevisions([]*daemon.Daemon{fresh})
 			Eventually(func() bool { return fresh.Status().Ready }, patience, "5ms").Should(BeTrue())
 			if fault.StaleRevision != 0 {
-				Eventually(func() int64 { return c.Platform.Calls().Manifest }, patience, "5ms").Should(BeNumerically(">", polls))
+				Eventually(func() int { return c.Platform.Calls().Manifest }, patience, "5ms").Should(BeNumerically(">", polls))
 			}
 			time.Sleep(3*fault.Slow + 100*time.Millisecond) // A manifest and its documents.
 			c.expectInForce(revision, 7, revisionTarget)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,7 +10,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/control"
 	"github.com/gypsumlug/gypsumlug/internal/peer"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
-	"github.com/gypsumlug/gypsumlug/internal/platform"
+	"github.com/gypsumlug/gypsumlug/internal/publication"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
@@ -29,12 +29,13 @@
 
 // controlLoop drives the control machine from one goroutine, which owns it.
 type controlLoop struct {
-	clock    clock
-	machine  *control.Machine
-	platform *platform.Client
-	peers    *peer.Client
-	counters *telemetry.Counters
-	publish  func(*view.View)
+	clock   clock
+	machine *control.Machine
+	// published is the configuration as operators publish it.
+	published *publication.Client
+	peers     *peer.Client
+	counters  *telemetry.Counters
+	publish   func(*view.View)
 
 	ctx    context.Context
 	events chan controlEvent
@@ -152,9 +153,6 @@
 	for _, f := range a.FetchDocuments {
 		go l.fetchDocument(f)
 	}
-	if a.FetchHosts {
-		go l.fetchHosts()
-	}
 }
 
 // sent takes what became of a message to a peer.
@@ -171,7 +169,7 @@
 	var data []byte
 	var err error
 	if s.Platform() {
-		data, err = l.platform.Manifest(ctx)
+		data, err = l.published.Manifest(ctx)
 	} else {
 		var m peerwire.Manifest
 		err = l.peers.Call(ctx, s.Peer, peerwire.KindManifestRequest, peerwire.ManifestRequest{}, &m)
@@ -181,7 +179,7 @@
 }
 
 func (l *controlLoop) watch(w control.Watch) {
-	data, err := l.platform.Watch(l.ctx, config.Revision(w.After), w.Wait)
+	data, err := l.published.Watch(l.ctx, config.Revision(w.After), w.Wait)
 	source := control.Source{Watch: true}
 	l.pass(l.ctx, func(now time.Duration) control.Actions { return l.machine.Manifest(now, source, data, err) })
 }
@@ -192,7 +190,7 @@
 	var data []byte
 	var err error
 	if f.Source.Platform() {
-		data, err = l.platform.Document(ctx, f.Hash)
+		data, err = l.published.Document(ctx, f.Hash)
 	} else {
 		var d peerwire.Document
 		err = l.peers.Call(ctx, f.Source.Peer, peerwire.KindDocumentRequest, peerwire.DocumentRequest{Hash: f.Hash}, &d)
@@ -202,10 +200,3 @@
 		return l.machine.Document(now, f.Source, f.Hash, data, err)
 	})
 }
-
-func (l *controlLoop) fetchHosts() {
-	ctx, cancel := context.WithTimeout(l.ctx, fetchTimeout)
-	defer cancel()
-	hosts, err := l.platform.Hosts(ctx)
-	l.pass(l.ctx, func(now time.Duration) control.Actions { return l.machine.Hosts(now, hosts, err) })
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,12 +19,13 @@
 	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/endpointhttp"
 	"github.com/gypsumlug/gypsumlug/internal/peer"
-	"github.com/gypsumlug/gypsumlug/internal/platform"
+	"github.com/gypsumlug/gypsumlug/internal/publication"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/settings"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 	"github.com/gypsumlug/gypsumlug/internal/version"
 	"github.com/gypsumlug/gypsumlug/internal/view"
+	"github.com/gypsumlug/gypsumlug/platform"
 )
 
 // Daemon is one running host.
@@ -41,7 +42,7 @@
 	relay       *relayLoop
 	control     *controlLoop
 	endpoints   *endpointhttp.Client
-	platform    *platform.Client
+	published   *publication.Client
 	peers       *peer.Client
 	peerServer  *peer.Server
 
@@ -96,15 +97,11 @@
 		DataCentre:  d.settings.DataCentre,
 	}
 	config := peer.Config{Self: d.PeerAddress(), Metrics: d.peerSet, Dial: d.options.Dial}
-	d.platform = platform.New(platform.Options{
-		Addresses: platformAddresses(d.settings.Platform),
-		OnCall:    d.countPlatformCall,
-		Dial:      d.options.Dial,
-	})
+	d.published = publication.New(publication.Options{Stores: d.stores(), OnCall: d.countPlatformCall})
 	d.peers = peer.NewClient(config, d.peerBroken)
 	d.peerServer = peer.NewServer(config, peerHandler{d})
 	d.control = newControlLoop(d.clock, d.self, d.settings.Peers, milliseconds(d.settings.StartWaitMS))
-	d.control.platform, d.control.peers, d.control.counters, d.control.publish = d.platform, d.peers, d.counters, d.publish
+	d.control.published, d.control.peers, d.control.counters, d.control.publish = d.published, d.peers, d.counters, d.publish
 	d.relay = newRelayLoop(d.clock, d.counters)
 	d.endpoints = endpointhttp.New(d.endpointOptions())
 	d.relay.endpoints, d.relay.deliver, d.relay.observe = d.endpoints, d.deliver, d.control.observe
@@ -187,11 +184,12 @@
 	return rand.New(rand.NewChaCha8(seed))
 }
 
-// platformAddresses returns the IP and port of base addresses.
-func platformAddresses(bases []string) []string {
-	out := make([]string, 0, len(bases))
-	for _, b := range bases {
-		out = append(out, strings.TrimPrefix(strings.TrimSuffix(b, "/"), "http://"))
+// stores returns a client of the platform's store for each of its addresses.
+func (d *Daemon) stores() []publication.Store {
+	out := make([]publication.Store, 0, len(d.settings.Platform))
+	for _, base := range d.settings.Platform {
+		address := strings.TrimPrefix(strings.TrimSuffix(base, "/"), "http://")
+		out = append(out, platform.NewValues(platform.NewStore(address, d.clock.now, d.options.Dial)))
 	}
 	return out
 }
--- a/internal/daemon/partition_test.go
+++ b/internal/daemon/partition_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/gypsumlug/gypsumlug/api"
 	"github.com/gypsumlug/gypsumlug/internal/daemon"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/settings"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
@@ -90,7 +89,6 @@
 	c := &cluster{Deployment: d}
 	DeferCleanup(c.close)
 	network.place(d.Platform.Address(), sides[0])
-	var list []platformapi.HostEntry
 	for i := range 4 {
 		side := sides[i/2]
 		h, err := daemon.StartWith(settings.Settings{
@@ -100,9 +98,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		network.place(h.PeerAddress(), side)
 		c.hosts = append(c.hosts, h)
-		list = append(list, platformapi.HostEntry{Address: h.PeerAddress(), DataCentre: side, State: platformapi.HostLive})
 	}
-	d.Platform.SetHosts(list)
 	c.waitReady()
 	return c
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -99,6 +99,6 @@
 	}
 }
 
-func (d *Daemon) countPlatformCall(path string, code result.Code) {
-	d.counters.Counter(`gypsumlug_platform_calls_total{path="` + path + `",reason="` + code.String() + `"}`).Inc()
+func (d *Daemon) countPlatformCall(call string, code result.Code) {
+	d.counters.Counter(`gypsumlug_platform_calls_total{call="` + call + `",reason="` + code.String() + `"}`).Inc()
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -48,7 +48,7 @@
 	d.closeListeners()
 	d.peers.Close()
 	d.endpoints.Close()
-	d.platform.Close()
+	d.published.Close()
 	d.running.Wait()
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -96,7 +96,7 @@
 	}
 	s.deployment = d
 	fleet, err := load.StartHostsAt(ctx, load.HostOptions{
-		Platform: d.Platform.Address(), DataCentres: dataCentres, Hosts: hostCount, List: d.Platform.SetHosts,
+		Platform: d.Platform.Address(), DataCentres: dataCentres, Hosts: hostCount,
 	})
 	if err != nil {
 		return err
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -163,7 +163,7 @@
 	return keeper.New(keeper.Options{
 		Self:         h.settings.PeerAddress,
 		Start:        h.incarnation,
-		Store:        platform.NewStore(h.settings.StoreAddress, now),
+		Store:        platform.NewStore(h.settings.StoreAddress, now, nil),
 		Now:          now,
 		Publish:      h.publish,
 		PublishPeers: h.gateway.SetPeers,
--- a/internal/load/hosts.go
+++ b/internal/load/hosts.go
@@ -17,7 +17,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/gypsumlug/gypsumlug/internal/daemon"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/settings"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
@@ -30,7 +29,9 @@
 	stopTimeout   = 10 * time.Second
 	loopbackAny   = "127.0.0.1:0"
 	startAttempts = 5
-	metricsPath   = "/metrics"
+	// maxSeeds is the number of hosts that the settings of all name.
+	maxSeeds    = 3
+	metricsPath = "/metrics"
 	// metricsTimeout bounds the reading of one host's metrics.
 	metricsTimeout = 2 * time.Second
 	// maxMetricsBytes bounds what is read of a host's metrics.
@@ -50,8 +51,6 @@
 	// DataCentres are given to the hosts in turn.
 	DataCentres []string
 	Hosts       int
-	// List makes the platform list the hosts before they start.
-	List func([]platformapi.HostEntry)
 }
 
 // StartHosts starts daemons on loopback that read the deployment's platform, and
@@ -61,7 +60,6 @@
 		Platform:    d.Platform.Address(),
 		DataCentres: workloads[o.Deployment].dataCentres,
 		Hosts:       o.Hosts,
-		List:        d.Platform.SetHosts,
 	})
 }
 
@@ -69,10 +67,20 @@
 // all are ready. It starts them anew if another process took one of the addresses
 // that it had found free.
 func StartHostsAt(ctx context.Context, o HostOptions) (*Fleet, error) {
+	return startAnew(ctx, o.settings)
+}
+
+// startAnew starts hosts with settings that it chooses anew while an address of
+// them is taken.
+func startAnew(ctx context.Context, choose func() ([]settings.Settings, error)) (*Fleet, error) {
 	var fleet *Fleet
 	var err error
 	for range startAttempts {
-		fleet, err = o.start(ctx)
+		var all []settings.Settings
+		if all, err = choose(); err != nil {
+			return nil, err
+		}
+		fleet, err = startAll(ctx, all)
 		if !errors.Is(err, syscall.EADDRINUSE) {
 			break
 		}
@@ -80,12 +88,7 @@
 	return fleet, err
 }
 
-func (o HostOptions) start(ctx context.Context) (*Fleet, error) {
-	all, err := o.settings()
-	if err != nil {
-		return nil, err
-	}
-	o.List(hostEntries(all))
+func startAll(ctx context.Context, all []settings.Settings) (*Fleet, error) {
 	h := &hosts{}
 	fleet, err := h.startAll(ctx, all)
 	if err != nil {
@@ -158,7 +161,8 @@
 	return nil
 }
 
-// settings gives every host its addresses and, in turn, a data centre.
+// settings gives every host its addresses, a few seeds and, in turn, a data
+// centre.
 func (o HostOptions) settings() ([]settings.Settings, error) {
 	out := make([]settings.Settings, o.Hosts)
 	for i := range out {
@@ -177,15 +181,19 @@
 			StartWaitMS:   settings.DefaultStartWaitMS,
 		}
 	}
+	for i := range out {
+		out[i].Peers = seedsOf(out)
+	}
 	return out, nil
 }
 
-func hostEntries(all []settings.Settings) []platformapi.HostEntry {
-	entries := make([]platformapi.HostEntry, len(all))
-	for i, s := range all {
-		entries[i] = platformapi.HostEntry{Address: s.PeerAddress, DataCentre: s.DataCentre, State: platformapi.HostLive}
+// seedsOf returns the peer addresses that all hosts know from the start.
+func seedsOf(all []settings.Settings) []string {
+	var out []string
+	for _, s := range all[:min(maxSeeds, len(all))] {
+		out = append(out, s.PeerAddress)
 	}
-	return entries
+	return out
 }
 
 // freeAddresses returns loopback addresses that nothing listens on now.
--- a/internal/load/hosts_test.go
+++ b/internal/load/hosts_test.go
@@ -7,7 +7,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
+	"github.com/gypsumlug/gypsumlug/internal/settings"
 	"github.com/gypsumlug/gypsumlug/internal/standin"
 )
 
@@ -16,21 +16,20 @@
 		d, err := standin.NewDeployment(standin.DeploymentOptions{Services: []standin.ServiceShape{{Name: "s"}}})
 		Expect(err).NotTo(HaveOccurred())
 		ginkgo.DeferCleanup(d.Close)
-		lists := 0
-		fleet, err := StartHostsAt(context.Background(), HostOptions{
-			Platform: d.Platform.Address(), DataCentres: []string{"Ruwi"}, Hosts: 1,
-			List: func(hosts []platformapi.HostEntry) {
-				if lists++; lists == 1 {
-					thief, err := net.Listen("tcp", hosts[0].Address)
-					Expect(err).NotTo(HaveOccurred())
-					ginkgo.DeferCleanup(thief.Close)
-				}
-				d.Platform.SetHosts(hosts)
-			},
+		options := HostOptions{Platform: d.Platform.Address(), DataCentres: []string{"Ruwi"}, Hosts: 1}
+		choices := 0
+		fleet, err := startAnew(context.Background(), func() ([]settings.Settings, error) {
+			all, err := options.settings()
+			if choices++; err == nil && choices == 1 {
+				thief, err := net.Listen("tcp", all[0].PeerAddress)
+				Expect(err).NotTo(HaveOccurred())
+				ginkgo.DeferCleanup(thief.Close)
+			}
+			return all, err
 		})
 		Expect(err).NotTo(HaveOccurred())
 		ginkgo.DeferCleanup(fleet.Close)
-		Expect(lists).To(Equal(2))
+		Expect(choices).To(Equal(2))
 		Expect(fleet.Addresses).To(HaveLen(1))
 	})
 })
--- a/internal/roster/assign.go
+++ b/internal/roster/assign.go
@@ -200,10 +200,8 @@
 
 // Watches tells whether this host is one of the watchers of its data centre. The
 // choice changes with the revision in force, so that watching goes round and a
-// host that can't reach the platform is not chosen for long. If starting is true,
-// listed hosts that weren't heard yet count too, so that hosts that start together
-// choose the same few.
-func (r *Roster) Watches(revision config.Revision, starting bool) bool {
+// host that can't reach the platform is not chosen for long.
+func (r *Roster) Watches(revision config.Revision) bool {
 	p := &planner{}
 	pool := []candidate{newCandidate(r.self.Address)}
 	for _, m := range r.local {
@@ -211,11 +209,6 @@
 			pool = append(pool, newCandidate(m.host.Incarnation.Address))
 		}
 	}
-	for _, m := range r.silent {
-		if starting && m.listed && !m.everHeard && m.host.DataCentre == r.dataCentre {
-			pool = append(pool, newCandidate(m.host.Incarnation.Address))
-		}
-	}
 	key := xxhash.Sum64String(r.dataCentre + "/" + strconv.FormatUint(uint64(revision), 10))
 	return slices.Contains(p.highest(pool, key, WatchersPerDataCentre), r.self.Address)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,9 +2,8 @@
 // host sends heartbeats to, which hosts watch the platform, and which hosts are
 // the relays of an endpoint.
 //
-// The platform's host list is the base and may lag; what hosts say of themselves
-// in heartbeats, directly or through others, goes above it. Each belief carries
-// the time since the host itself was heard, measured by monotonic clocks and
+// A host begins with a few seeds, some of which may be stale; the others it knows
+// from heartbeats, directly or through others. Each belief carries the time since the host itself was heard, measured by monotonic clocks and
 // added up over hops, and ends when nothing newer arrives. All of it is a hint:
 // a host that is wrong about another wastes a message, and no promise to a
 // caller rests on it.
@@ -23,16 +22,15 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 const (
 	// SuspectAfter is how long a host is believed alive after it was heard.
 	SuspectAfter = 90 * time.Second
-	// ForgetAfter is how long a silent host that the platform doesn't list is
-	// still probed.
-	ForgetAfter = 10 * time.Minute
+	// ForgetAfter is how long a silent host that is no seed is still probed. It is
+	// longer than two regions are expected to be cut off from each other.
+	ForgetAfter = 3 * time.Hour
 	// MaxHosts bounds the known hosts.
 	MaxHosts = 4096
 	// neverFailed is before any time at which a host can have been heard, which
@@ -66,10 +64,9 @@
 	// failed is when the host could last not be reached; only later word of it
 	// counts.
 	failed time.Duration
-	// seen is when the host was last heard of, or last listed.
+	// seen is when the host was last heard of.
 	seen         time.Duration
 	everHeard    bool
-	listed       bool
 	seed         bool
 	alive        bool
 	passOn       int
@@ -82,29 +79,8 @@
 	return &Roster{self: self, dataCentre: dataCentre, rng: rng, hosts: make(map[string]*member)}
 }
 
-// SetList takes the platform's list. Listed hosts are probed; they are believed
-// alive only once they were heard. A state in the list is not used, since it may
-// belong to an incarnation that was replaced.
-func (r *Roster) SetList(now time.Duration, entries []platformapi.HostEntry) {
-	for _, m := range r.hosts {
-		m.listed = false
-	}
-	for _, e := range entries {
-		m := r.member(now, e.Address)
-		if m == nil {
-			continue
-		}
-		m.listed = true
-		m.seen = now
-		if !m.everHeard {
-			m.host.DataCentre = e.DataCentre
-		}
-	}
-	r.dirty = true
-}
-
-// SetSeeds adds addresses from the host's settings, which are probed like listed
-// hosts.
+// SetSeeds adds addresses from the host's settings. They are probed, and believed
+// alive only once they were heard.
 func (r *Roster) SetSeeds(now time.Duration, addresses []string) {
 	for _, address := range addresses {
 		if m := r.member(now, address); m != nil {
@@ -223,7 +199,7 @@
 			m.alive = alive
 			r.dirty = true
 		}
-		if !alive && !m.listed && !m.seed && now-m.seen >= ForgetAfter {
+		if !alive && !m.seed && now-m.seen >= ForgetAfter {
 			delete(r.hosts, address)
 			r.dirty = true
 		}
@@ -290,8 +266,8 @@
 	Host view.Host
 	// Alive tells whether the host is believed alive.
 	Alive bool
-	// Listed tells whether the platform lists it.
-	Listed bool
+	// Seed tells whether the host's settings name it.
+	Seed bool
 	// Heard tells whether it was ever heard, and Age how long ago.
 	Heard bool
 	Age   time.Duration
@@ -302,7 +278,7 @@
 	all := r.sorted()
 	out := make([]Entry, 0, len(all))
 	for _, m := range all {
-		out = append(out, Entry{Host: m.host, Alive: m.alive, Listed: m.listed, Heard: m.everHeard, Age: now - m.heard})
+		out = append(out, Entry{Host: m.host, Alive: m.alive, Seed: m.seed, Heard: m.everHeard, Age: now - m.heard})
 	}
 	return out
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
 	"github.com/gypsumlug/gypsumlug/internal/roster"
 	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 	"github.com/gypsumlug/gypsumlug/internal/view"
@@ -50,12 +49,12 @@
 		Expect(live[0].Incarnation.Start).To(Equal(start))
 		Expect(live[0].State).To(Equal(state))
 	},
-	Entry("listed but never heard", func(r *roster.Roster) {
-		r.SetList(0, []platformapi.HostEntry{{Address: address(1), DataCentre: "a", State: platformapi.HostLive}})
+	Entry("a seed that was never heard", func(r *roster.Roster) {
+		r.SetSeeds(0, []string{address(1)})
 	}, time.Second, uint64(0), view.HostReady),
-	Entry("listed as leaving, but its replacement is heard", func(r *roster.Roster) {
+	Entry("a seed that is heard", func(r *roster.Roster) {
+		r.SetSeeds(0, []string{address(1)})
 		r.Heard(0, heartbeat(1, 5, view.HostReady))
-		r.SetList(0, []platformapi.HostEntry{{Address: address(1), DataCentre: "a", State: platformapi.HostLeaving}})
 	}, time.Second, uint64(5), view.HostReady),
 	Entry("silent for too long", func(r *roster.Roster) {
 		r.Heard(0, heartbeat(1, 5, view.HostReady))
@@ -192,7 +191,7 @@
 				}
 			}
 			r.Tick(0)
-			if r.Watches(revision, false) {
+			if r.Watches(revision) {
 				watchers++
 			}
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,10 +41,10 @@
 	AdminAddress string `json:"admin_address"`
 	// DataCentre is the data centre that the host runs in.
 	DataCentre string `json:"data_centre"`
-	// Platform holds the base addresses of the platform's service, http://IP:port.
+	// Platform holds the base addresses of the platform's store, http://IP:port.
 	Platform []string `json:"platform"`
-	// Peers are peer addresses that are asked for the configuration at start,
-	// besides those that the platform lists.
+	// Peers are peer addresses through which the host finds the others; some may be
+	// stale.
 	Peers []string `json:"peers"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
--- a/internal/standin/deployment_test.go
+++ b/internal/standin/deployment_test.go
@@ -1,7 +1,7 @@
 package standin
 
 import (
-	"io"
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,16 +10,16 @@
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
+	"github.com/gypsumlug/gypsumlug/internal/publication"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/platform"
 )
 
 type platformCase struct {
-	faults  PlatformFaults
-	status  int
-	valid   bool
-	torn    bool
-	content config.Revision
+	faults PlatformFaults
+	// fails, oversized and valid tell what a reader gets, content which revision.
+	fails, oversized, valid bool
+	content                 config.Revision
 }
 
 var _ = Describe("deployment and platform", func() {
@@ -32,12 +32,11 @@
 		DeferCleanup(d.Close)
 		return d
 	}
-	get := func(d *Deployment, path string) (int, []byte, error) {
-		response, err := newClient().Get("http://" + d.Platform.Address() + path)
-		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = response.Body.Close() }()
-		body, err := io.ReadAll(response.Body)
-		return response.StatusCode, body, err
+	// reader reads what the platform publishes as a host does.
+	reader := func(d *Deployment) platform.Values {
+		store := platform.NewStore(d.Platform.Address(), func() time.Duration { return 0 }, nil)
+		DeferCleanup(platform.NewValues(store).Close)
+		return platform.NewValues(store)
 	}
 
 	DescribeTable("serves the manifest in force or fails as told",
@@ -45,34 +44,37 @@
 			d := newDeployment()
 			Expect(d.Publish()).To(Succeed())
 			d.Platform.SetFaults(c.faults)
-			status, body, err := get(d, platformapi.PathManifest)
-			Expect(status).To(Equal(c.status))
-			Expect(err != nil).To(Equal(c.torn))
-			m, parseErr := config.ParseManifest(body)
+			value, err := reader(d).Value(context.Background(), publication.ManifestName)
+			Expect(err != nil).To(Equal(c.fails))
+			Expect(len(value.Data) > config.MaxValueBytes).To(Equal(c.oversized))
+			m, parseErr := config.ParseManifest(value.Data)
 			Expect(parseErr == nil).To(Equal(c.valid))
 			if c.valid {
 				Expect(m.Revision).To(Equal(c.content))
 			}
 		},
-		Entry("newest", platformCase{status: 200, valid: true, content: 2}),
-		Entry("stale", platformCase{faults: PlatformFaults{StaleRevision: 1}, status: 200, valid: true, content: 1}),
-		Entry("slow", platformCase{faults: PlatformFaults{Slow: time.Millisecond}, status: 200, valid: true, content: 2}),
-		Entry("unavailable", platformCase{faults: PlatformFaults{Unavailable: true}, status: 503}),
-		Entry("flapping", platformCase{faults: PlatformFaults{Flap: true}, status: 503}),
-		Entry("torn", platformCase{faults: PlatformFaults{Torn: true}, status: 200, torn: true}),
-		Entry("oversized", platformCase{faults: PlatformFaults{Oversized: true}, status: 200}),
+		Entry("newest", platformCase{valid: true, content: 2}),
+		Entry("stale", platformCase{faults: PlatformFaults{StaleRevision: 1}, valid: true, content: 1}),
+		Entry("slow", platformCase{faults: PlatformFaults{Slow: time.Millisecond}, valid: true, content: 2}),
+		Entry("unavailable", platformCase{faults: PlatformFaults{Unavailable: true}, fails: true}),
+		Entry("flapping", platformCase{faults: PlatformFaults{Flap: true}, fails: true}),
+		Entry("torn", platformCase{faults: PlatformFaults{Torn: true}, fails: true}),
+		Entry("oversized", platformCase{faults: PlatformFaults{Oversized: true}, oversized: true}),
 	)
 
 	It("wakes a watch when a snapshot is published and drops the old one", func() {
 		d := newDeployment()
+		read := reader(d)
+		now, err := read.Value(context.Background(), publication.ManifestName)
+		Expect(err).NotTo(HaveOccurred())
 		manifests := make(chan []byte, 1)
 		go func() {
 			defer GinkgoRecover()
-			_, body, err := get(d, platformapi.PathWatch+"?after=1&wait_ms=60000")
+			value, err := read.Await(context.Background(), publication.ManifestName, now.Version, time.Minute)
 			Expect(err).NotTo(HaveOccurred())
-			manifests <- body
+			manifests <- value.Data
 		}()
-		Eventually(func() int64 { return d.Platform.Calls().Watch }).Should(Equal(int64(1)))
+		Eventually(func() int { return d.Platform.Calls().Watch }).Should(Equal(1))
 		Expect(d.PublishSnapshot(service, 1)).To(Equal(uint64(2)))
 		var body []byte
 		Eventually(manifests).Should(Receive(&body))
@@ -84,9 +86,9 @@
 			Expect(e.Held()[0].Snapshot).To(Equal(uint64(2)))
 		}
 		for _, ref := range m.Documents {
-			_, document, err := get(d, platformapi.PathDocument+ref.Hash)
+			document, err := read.Value(context.Background(), publication.DocumentPrefix+ref.Hash)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(config.CheckDocument(ref, document)).To(Succeed())
+			Expect(config.CheckDocument(ref, document.Data)).To(Succeed())
 		}
 	})
 
--- a/internal/standin/follow.go
+++ b/internal/standin/follow.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return false, err
 	}
-	if published, _ := p.current(); bundle.Revision <= published.number {
+	if bundle.Revision <= p.published() {
 		return false, nil
 	}
 	return true, p.Publish(manifest, documents)
--- a/internal/standin/follow_test.go
+++ b/internal/standin/follow_test.go
@@ -14,8 +14,7 @@
 	p := NewPlatform()
 	publish := func() (bool, uint64) {
 		published, _ := p.publishNewer(dir)
-		now, _ := p.current()
-		return published, uint64(now.number)
+		return published, uint64(p.published())
 	}
 	expect := func(published bool, revision int) {
 		GinkgoHelper()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,30 +5,25 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
-	"github.com/gypsumlug/gypsumlug/internal/platformapi"
+	platform "github.com/gypsumlug/gypsumlug/platform/standin"
 )
 
-// maxWatchWait bounds a long poll.
-const maxWatchWait = 60 * time.Second
-
 // PlatformFaults tells how the platform misbehaves. The zero value has no fault.
 type PlatformFaults struct {
 	// Unavailable answers every call with status 503.
 	Unavailable bool
-	// StaleRevision serves the newest manifest up to this revision; zero serves
-	// the newest.
+	// StaleRevision publishes the newest manifest up to this revision; zero
+	// publishes the newest.
 	StaleRevision config.Revision
 	// Flap answers every other call with status 503.
 	Flap bool
-	// Torn cuts values in the middle and closes the connection.
+	// Torn cuts answers in the middle and closes the connection.
 	Torn bool
 	// Oversized pads values beyond config.MaxValueBytes.
 	Oversized bool
@@ -36,24 +31,21 @@
 	Slow time.Duration
 }
 
-// PlatformCalls counts calls by path.
+// PlatformCalls counts calls by what they ask for.
 type PlatformCalls struct {
-	Manifest, Watch, Document, Hosts int64
+	Manifest, Watch, Document int
 }
 
 // Total returns the sum of all calls.
-func (c PlatformCalls) Total() int64 { return c.Manifest + c.Watch + c.Document + c.Hosts }
+func (c PlatformCalls) Total() int { return c.Manifest + c.Watch + c.Document }
 
-// Platform is an HTTP server of the platform's configuration service.
+// Platform is the platform's store with the product's own configuration in it.
 type Platform struct {
+	store *platform.Store
+
 	mu        sync.Mutex
-	changed   chan struct{}
-	faults    PlatformFaults
+	stale     config.Revision
 	revisions []revision
-	documents map[string][]byte
-	hosts     []platformapi.HostEntry
-	calls     PlatformCalls
-	sequence  int64
 	address   string
 	server    *http.Server
 }
@@ -64,9 +56,7 @@
 }
 
 // NewPlatform returns a platform that holds nothing and is not started yet.
-func NewPlatform() *Platform {
-	return &Platform{changed: make(chan struct{}), documents: make(map[string][]byte)}
-}
+func NewPlatform() *Platform { return &Platform{store: platform.NewStore()} }
 
 // Start listens on a free port of 127.0.0.1 and serves until Close.
 func (p *Platform) Start() error { return p.StartAt(loopbackAny) }
@@ -77,15 +67,10 @@
 	if err != nil {
 		return eris.Wrap(err, "platform cannot listen")
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platformapi.PathManifest, p.manifest)
-	mux.HandleFunc("GET "+platformapi.PathWatch, p.watch)
-	mux.HandleFunc("GET "+platformapi.PathDocument+"{hash}", p.document)
-	mux.HandleFunc("GET "+platformapi.PathHosts, p.listHosts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.address = l.Addr().String()
-	p.server = &http.Server{Handler: mux}
+	p.server = &http.Server{Handler: p.store}
 	go func(s *http.Server) { _ = s.Serve(l) }(p.server)
 	return nil
 }
@@ -117,164 +102,61 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.Copy(p.documents, documents)
+	for _, hash := range slices.Sorted(maps.Keys(documents)) {
+		p.store.PutDocument(hash, documents[hash])
+	}
 	p.revisions = append(p.revisions, revision{number: m.Revision, data: slices.Clone(manifest)})
-	p.wake()
+	p.putNewest()
 	return nil
 }
 
-// SetHosts replaces the list of hosts.
-func (p *Platform) SetHosts(hosts []platformapi.HostEntry) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hosts = slices.Clone(hosts)
-}
-
 // SetFaults replaces the faults.
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults = f
-	p.wake()
-}
-
-// Calls returns how often each path was called.
-func (p *Platform) Calls() PlatformCalls {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls
-}
-
-// wake lets waiting watches look again; the caller holds the mutex.
-func (p *Platform) wake() {
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-// current returns the manifest in force and the channel that tells of a change.
-func (p *Platform) current() (revision, <-chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var newest revision
-	for _, r := range p.revisions {
-		if p.faults.StaleRevision == 0 || r.number <= p.faults.StaleRevision {
-			newest = r
-		}
-	}
-	return newest, p.changed
-}
-
-// enter counts a call and applies the faults that refuse or delay it.
-func (p *Platform) enter(w http.ResponseWriter, r *http.Request, count *int64) bool {
-	p.mu.Lock()
-	*count++
-	p.sequence++
-	f := p.faults
-	odd := p.sequence%2 == 1
-	p.mu.Unlock()
-	if f.Slow > 0 && !sleep(r, f.Slow) {
-		return false
+	if f.StaleRevision != p.stale {
+		p.stale = f.StaleRevision
+		p.putNewest()
 	}
-	if f.Unavailable || (f.Flap && odd) {
-		http.Error(w, "unavailable", http.StatusServiceUnavailable)
-		return false
+	faults := platform.StoreFaults{Flap: f.Flap, Torn: f.Torn, Delay: f.Slow}
+	if f.Unavailable {
+		faults.Status = http.StatusServiceUnavailable
 	}
-	return true
-}
-
-func (p *Platform) manifest(w http.ResponseWriter, r *http.Request) {
-	if !p.enter(w, r, &p.calls.Manifest) {
-		return
-	}
-	newest, _ := p.current()
-	if newest.data == nil {
-		http.NotFound(w, r)
-		return
+	if f.Oversized {
+		faults.Pad = config.MaxValueBytes
 	}
-	p.writeValue(w, newest.data)
+	p.store.SetFaults(faults)
 }
 
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	if !p.enter(w, r, &p.calls.Watch) {
-		return
+// putNewest publishes the newest manifest that the faults let be seen. The caller
+// holds the mutex.
+func (p *Platform) putNewest() {
+	if newest := p.newest(); newest.data != nil {
+		p.store.PutManifest(newest.data)
 	}
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	waitMS, waitErr := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
-	if err != nil || waitErr != nil || waitMS < 0 {
-		http.Error(w, "after and wait_ms must be numbers", http.StatusBadRequest)
-		return
-	}
-	wait := min(time.Duration(waitMS)*time.Millisecond, maxWatchWait)
-	p.await(w, r, config.Revision(after), wait)
 }
 
-func (p *Platform) await(w http.ResponseWriter, r *http.Request, after config.Revision, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		newest, changed := p.current()
-		if newest.number > after {
-			p.writeValue(w, newest.data)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			w.WriteHeader(http.StatusNoContent)
-			return
-		case <-r.Context().Done():
-			return
+// newest returns the newest revision that the faults let be seen. The caller holds
+// the mutex.
+func (p *Platform) newest() revision {
+	var newest revision
+	for _, r := range p.revisions {
+		if p.stale == 0 || r.number <= p.stale {
+			newest = r
 		}
 	}
+	return newest
 }
 
-func (p *Platform) document(w http.ResponseWriter, r *http.Request) {
-	if !p.enter(w, r, &p.calls.Document) {
-		return
-	}
+// published returns the revision that can be read, or zero.
+func (p *Platform) published() config.Revision {
 	p.mu.Lock()
-	data := p.documents[strings.TrimPrefix(r.URL.Path, platformapi.PathDocument)]
-	p.mu.Unlock()
-	if data == nil {
-		http.NotFound(w, r)
-		return
-	}
-	p.writeValue(w, data)
-}
-
-func (p *Platform) listHosts(w http.ResponseWriter, r *http.Request) {
-	if !p.enter(w, r, &p.calls.Hosts) {
-		return
-	}
-	p.mu.Lock()
-	hosts := platformapi.HostList{Hosts: append([]platformapi.HostEntry{}, p.hosts...)}
-	p.mu.Unlock()
-	writeJSON(w, http.StatusOK, hosts)
-}
-
-func (p *Platform) writeValue(w http.ResponseWriter, data []byte) {
-	p.mu.Lock()
-	f := p.faults
-	p.mu.Unlock()
-	if f.Oversized {
-		data = append(slices.Clone(data), make([]byte, config.MaxValueBytes)...)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	if f.Torn {
-		data = data[:len(data)/2]
-	}
-	_, _ = w.Write(data)
+	defer p.mu.Unlock()
+	return p.newest().number
 }
 
-// sleep waits for d; it reports false if the caller went away first.
-func sleep(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
+// Calls returns how often each kind of value was asked for.
+func (p *Platform) Calls() PlatformCalls {
+	calls, manifest := p.store.Calls(), p.store.ManifestReads()
+	return PlatformCalls{Manifest: manifest, Watch: calls.Watch, Document: calls.Key - manifest}
 }
