Follow the configured limits of callers, and read changed settings

Idle time, header time and header size of callers' connections were fixed at 1 min, 5 s and 32 KB; a deployment with others would have had connections cut or requests refused that its callers may make. They follow the limits in force. Settings are read again at SIGHUP and when the file changes; what cannot be read changes nothing. Requests that cannot be read had no code, counter or log line. Lines about refused input have a budget of their own, since requests for routes that do not exist used up the others'.

Ruled out: another http.Server at each change, which would close connections.

--- a/cmd/gypsumlug-gateway/main.go
+++ b/cmd/gypsumlug-gateway/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -29,6 +30,9 @@
 // gcPercent trades processor time, which is cheap here, for memory.
 const gcPercent = 40
 
+// memoryShare is the part of the host's memory that the heap may take.
+const memoryShare = 0.7
+
 type cli struct {
 	Settings string     `env:"GYPSUMLUG_SETTINGS" type:"path" help:"Path of the settings file."`
 	LogLevel string     `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines."`
@@ -50,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	}
 	counters := telemetry.NewCounters()
 	writer := telemetry.NewWriter(os.Stdout, counters.Counter(telemetry.LinesDropped))
 	defer writer.Close(logFlush)
@@ -59,7 +66,12 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go host.Follow(ctx, c.Settings, hangups)
 	stop := make(chan struct{})
 	go func() {
 		<-signals
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -145,20 +145,19 @@
 // addresses that may be stale. It begins at a time of the clock.
 func NewMachine(self, dataCentre string, start uint64, seeds []string, now time.Duration, rng *rand.Rand) *Machine {
 	seed := slices.Contains(seeds, self)
-	seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == self })
 	m := &Machine{
 		self:       self,
 		dataCentre: dataCentre,
 		start:      start,
-		seeds:      seeds,
 		rng:        rng,
 		members:    newMembers(self),
 		catalog:    catalog.New(),
 		hosts:      1,
 	}
+	m.SetSeeds(seeds)
 	m.spread = time.Duration(rng.Int64N(int64(staleSpread)))
 	switch {
-	case len(seeds) == 0:
+	case len(m.seeds) == 0:
 		m.readAt = now
 	case seed:
 		m.readAt = now + time.Duration(rng.Int64N(int64(seedWait)))
@@ -168,6 +167,11 @@
 	return m
 }
 
+// SetSeeds replaces the seeds.
+func (m *Machine) SetSeeds(seeds []string) {
+	m.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == m.self })
+}
+
 // Tick handles the passing of time.
 func (m *Machine) Tick(now time.Duration) Actions {
 	m.members.tick(now)
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -380,3 +380,16 @@
 		}
 	})
 }
+
+// New seeds are told of this host at its next heartbeat.
+func TestSeedsMayChange(t *testing.T) {
+	g := NewWithT(t)
+	m := discovery.NewMachine("127.0.0.1:1", "z", 1, []string{"127.0.0.1:2"}, 0, rand.New(rand.NewPCG(1, 1)))
+	m.Tick(0)
+	m.SetSeeds([]string{"127.0.0.1:1", "127.0.0.1:3"})
+	var to []string
+	for _, o := range m.Tick(time.Minute).Send {
+		to = append(to, o.To)
+	}
+	g.Expect(to).To(Equal([]string{"127.0.0.1:3"}))
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -19,7 +19,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"github.com/gypsumlug/gypsumlug/internal/balance"
 	"github.com/gypsumlug/gypsumlug/internal/boottime"
 	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
@@ -27,6 +26,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/gateway"
 	"github.com/gypsumlug/gypsumlug/internal/keeper"
 	"github.com/gypsumlug/gypsumlug/internal/peerlink"
+	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
@@ -54,7 +54,7 @@
 
 // Host is one entry host.
 type Host struct {
-	settings *Settings
+	settings atomic.Pointer[Settings]
 	log      zerolog.Logger
 	counters *telemetry.Counters
 	started  time.Time
@@ -64,6 +64,7 @@
 	gateway     *gateway.Gateway
 	client      *forward.Client
 	peers       *peerlink.Client
+	keeper      *keeper.Keeper
 	ready       atomic.Bool
 	stopping    atomic.Bool
 	warmed      sync.Once
@@ -78,28 +79,27 @@
 	incarnation := binary.LittleEndian.Uint64(seed[:])
 	log = log.With().Str("host", s.Host).Logger()
 	h := &Host{
-		settings:    s,
 		log:         log,
 		counters:    counters,
 		started:     time.Now(),
 		incarnation: incarnation,
 		rng:         newRand(seed[8:]),
 	}
+	h.settings.Store(s)
 	recorder := newRecorder(log, h.counters, h.now)
 	h.peers = peerlink.NewClient(dial.TCP)
 	h.client = forward.New(platform.Dialect{}, dial.TCP, recorder)
 	h.gateway = gateway.New(gateway.Config{
-		DataCentre:    s.DataCentre,
-		Incarnation:   incarnation,
-		Allowance:     balance.Allowance{Ratio: s.ExtraRatio, Slack: s.ExtraSlack, Window: time.Duration(s.ExtraWindowSeconds * float64(time.Second))},
-		Processor:     s.Processor,
-		CallerLatency: time.Duration(s.CallerLatencyMS * float64(time.Millisecond)),
-		Now:           h.now,
-		Sender:        h.client,
-		Self:          split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre},
-		Peers:         partClient{h.peers},
-		Recorder:      recorder,
+		DataCentre:  s.DataCentre,
+		Incarnation: incarnation,
+		Tuning:      s.tuning(),
+		Now:         h.now,
+		Sender:      h.client,
+		Self:        split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre},
+		Peers:       partClient{h.peers},
+		Recorder:    recorder,
 	}, newRand(seed[16:]))
+	h.keeper = h.newKeeper()
 	return h, nil
 }
 
@@ -129,41 +129,52 @@
 func (h *Host) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	callers, err := net.Listen("tcp", h.settings.CallerAddress)
+	listener, err := net.Listen("tcp", h.settings.Load().CallerAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
 	if err := h.serveInternal(); err != nil {
 		return err
 	}
-	server := &http.Server{
-		ConnContext:       platform.ConnContext,
-		Handler:           &platform.Ingress{Gateway: h.gateway, Closing: h.stopping.Load},
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    32 << 10,
-	}
-	go func() { _ = server.Serve(callers) }()
-	k := h.newKeeper()
+	served := &callers{limits: h.limits, unreadable: func() { h.gateway.Refuse("", result.RequestUnreadable) }}
+	server := served.server(&platform.Ingress{Gateway: h.gateway, Closing: h.stopping.Load}, platform.ConnContext)
+	go func() { _ = server.Serve(served.listener(listener)) }()
 	go func() {
-		if err := k.Run(ctx); err != nil {
+		if err := h.keeper.Run(ctx); err != nil {
 			h.log.Error().Err(err).Msg("peers not served")
 		}
 	}()
-	h.log.Info().Str("data_centre", h.settings.DataCentre).Str("version", version.String()).Msg("started")
+	h.log.Info().Str("data_centre", h.settings.Load().DataCentre).Str("version", version.String()).Msg("started")
 	<-stop
-	k.Leave(ctx)
+	h.keeper.Leave(ctx)
 	return h.drain(server)
 }
 
+// limits returns what callers are held to.
+func (h *Host) limits() routing.Limits {
+	v := h.gateway.View()
+	if v == nil || v.Config == nil {
+		return defaultLimits
+	}
+	limits := v.Config.Limits
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultLimits.HeaderTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultLimits.IdleTimeout
+	}
+	return limits
+}
+
 func (h *Host) newKeeper() *keeper.Keeper {
 	began := boottime.Now() - h.now()
 	now := func() time.Duration { return boottime.Now() - began }
-	machine := discovery.NewMachine(h.settings.PeerAddress, h.settings.DataCentre, h.incarnation, h.settings.Seeds, now(), h.rng)
+	s := h.settings.Load()
+	machine := discovery.NewMachine(s.PeerAddress, s.DataCentre, h.incarnation, s.Seeds, now(), h.rng)
 	return keeper.New(keeper.Options{
-		Self:         h.settings.PeerAddress,
+		Self:         s.PeerAddress,
 		Start:        h.incarnation,
-		Store:        platform.NewStore(h.settings.StoreAddress, now, nil),
+		Store:        platform.NewStore(s.StoreAddress, now, nil),
 		Now:          now,
 		Publish:      h.publish,
 		PublishPeers: h.gateway.SetPeers,
@@ -175,12 +186,13 @@
 
 // serveInternal serves readiness and metrics.
 func (h *Host) serveInternal() error {
-	readiness, err := net.Listen("tcp", h.settings.ReadinessAddress)
+	readiness, err := net.Listen("tcp", h.settings.Load().ReadinessAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for readiness")
 	}
-	ip, _ := netip.ParseAddrPort(h.settings.PeerAddress)
-	metrics, err := net.Listen("tcp", netip.AddrPortFrom(ip.Addr(), uint16(h.settings.InternalPorts[1])).String())
+	s := h.settings.Load()
+	ip, _ := netip.ParseAddrPort(s.PeerAddress)
+	metrics, err := net.Listen("tcp", netip.AddrPortFrom(ip.Addr(), uint16(s.InternalPorts[1])).String())
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
@@ -229,7 +241,7 @@
 // drain stops the host: it is no longer ready, serves on until the balancer
 // knows, closes the listener, and waits for the requests in progress.
 func (h *Host) drain(server *http.Server) error {
-	deadline := time.Now().Add(h.settings.Grace() - stopReserve)
+	deadline := time.Now().Add(h.settings.Load().Grace() - stopReserve)
 	h.stopping.Store(true)
 	h.log.Info().Int("running", h.gateway.Running()).Msg("stopping")
 	time.Sleep(min(balancerLag, time.Until(deadline)/2))
--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -24,6 +24,10 @@
 	// Answers without a story are counted.
 	linesPerSecond = 25
 	lineBurst      = 60
+	// inputsPerSecond and inputBurst bound the lines about requests that are refused
+	// for what their callers sent, so that those leave the others theirs.
+	inputsPerSecond = 2
+	inputBurst      = 10
 	// stepsPerStory bounds the steps of one story; the last ones are written.
 	stepsPerStory = 8
 	// storyQueue is the number of stories that may wait to be written.
@@ -44,13 +48,14 @@
 	// for the log.
 	stories chan gateway.Ended
 
-	// tokens and last belong to that goroutine.
-	tokens float64
-	last   time.Duration
+	// lines and inputs belong to that goroutine.
+	lines, inputs lineBudget
 }
 
 func newRecorder(log zerolog.Logger, counters *telemetry.Counters, now func() time.Duration) *recorder {
-	r := &recorder{log: log, counters: counters, now: now, tokens: lineBurst, stories: make(chan gateway.Ended, storyQueue)}
+	r := &recorder{log: log, counters: counters, now: now, stories: make(chan gateway.Ended, storyQueue)}
+	r.lines = lineBudget{perSecond: linesPerSecond, burst: lineBurst, tokens: lineBurst}
+	r.inputs = lineBudget{perSecond: inputsPerSecond, burst: inputBurst, tokens: inputBurst}
 	go r.write()
 	return r
 }
@@ -58,7 +63,7 @@
 // write writes stories while they keep within the rate.
 func (r *recorder) write() {
 	for e := range r.stories {
-		if !r.takeLines(min(len(e.Steps), stepsPerStory) + 1) {
+		if !r.budget(e.Code).take(r.now(), min(len(e.Steps), stepsPerStory)+1) {
 			r.counters.Inc(telemetry.StoriesSkipped)
 			continue
 		}
@@ -115,15 +120,29 @@
 	return h.Sum32()%sampleEvery == 0
 }
 
-// takeLines reports whether a story of some lines keeps within the rate.
-func (r *recorder) takeLines(lines int) bool {
-	now := r.now()
-	r.tokens = min(r.tokens+linesPerSecond*(now-r.last).Seconds(), lineBurst)
-	r.last = now
-	if r.tokens < float64(lines) {
+// budget returns the budget of the lines about an answer.
+func (r *recorder) budget(code result.Code) *lineBudget {
+	switch code {
+	case result.NotFound, result.BodyTooLarge, result.HeaderTooLarge, result.RequestUnreadable:
+		return &r.inputs
+	}
+	return &r.lines
+}
+
+// lineBudget bounds the rate of log lines.
+type lineBudget struct {
+	perSecond, burst, tokens float64
+	last                     time.Duration
+}
+
+// take reports whether some lines keep within the rate.
+func (b *lineBudget) take(now time.Duration, lines int) bool {
+	b.tokens = min(b.tokens+b.perSecond*(now-b.last).Seconds(), b.burst)
+	b.last = now
+	if b.tokens < float64(lines) {
 		return false
 	}
-	r.tokens -= float64(lines)
+	b.tokens -= float64(lines)
 	return true
 }
 
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -30,13 +30,12 @@
 	Seeds []string `json:"seeds"`
 	// StoreAddress is the platform's store, IP and port.
 	StoreAddress string `json:"store_address"`
-	MemoryMB     int    `json:"memory_mb"`
+	// MemoryMB is the memory of the host, which the process stays below.
+	MemoryMB int `json:"memory_mb"`
 	// Processor is the share of a processor that the host has.
 	Processor float64 `json:"processor"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
 	GraceSeconds float64 `json:"grace_s"`
-	// DrainMS is the time in which every host must know of a leaving replica.
-	DrainMS float64 `json:"drain_ms"`
 	// CallerLatencyMS is the one-way time between callers and the host.
 	CallerLatencyMS float64 `json:"caller_latency_ms"`
 	// Extra attempts of one service over all hosts, in any window.
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -43,11 +43,10 @@
 	peers     *split.Table
 }
 
-func newBeliefs(dataCentre string, a balance.Allowance, self split.Peer, rng *rand.Rand) *beliefs {
+func newBeliefs(dataCentre string, self split.Peer, rng *rand.Rand) *beliefs {
 	return &beliefs{
 		rng:       rng,
 		table:     balance.NewTable(dataCentre),
-		allowance: a,
 		hosts:     1,
 		budgets:   make(map[string]*balance.Budget),
 		hedges:    make(map[string]*balance.Quantile),
@@ -127,6 +126,18 @@
 	b.table.SetReplicas(v.Replicas)
 	b.hosts = hosts
 	b.sharers = b.divisions(v)
+	b.resize()
+}
+
+func (b *beliefs) setAllowance(a balance.Allowance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.allowance = a
+	b.resize()
+}
+
+// resize gives every budget its share of the allowance; the caller holds mu.
+func (b *beliefs) resize() {
 	for service, budget := range b.budgets {
 		budget.Resize(b.allowance, b.sharing(service))
 	}
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -93,7 +93,7 @@
 	var hosts []*gateway.Gateway
 	for i, p := range peers {
 		g := gateway.New(gateway.Config{
-			DataCentre: "a", Incarnation: uint64(i + 1), Allowance: balance.Allowance{Ratio: 0.2, Slack: slack},
+			DataCentre: "a", Incarnation: uint64(i + 1), Tuning: gateway.Tuning{Allowance: balance.Allowance{Ratio: 0.2, Slack: slack}},
 			Now: func() time.Duration { return time.Since(started) }, Sender: sender, Recorder: silent{}, Self: p, Peers: f,
 		}, rand.New(rand.NewPCG(uint64(i), 1)))
 		g.SetPeers(peers)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,11 +92,8 @@
 	DataCentre string
 	// Incarnation tells this process's requests from those of others.
 	Incarnation uint64
-	Allowance   balance.Allowance
-	// Processor is the share of a processor that the host has.
-	Processor float64
-	// CallerLatency is the one-way time between callers and the host.
-	CallerLatency time.Duration
+	// Tuning is in force until SetTuning.
+	Tuning Tuning
 	// Now is the monotonic time since the start of the process.
 	Now      func() time.Duration
 	Sender   Sender
@@ -106,9 +103,21 @@
 	Peers Peers
 }
 
+// Tuning are the inputs of a gateway that may change while it runs.
+type Tuning struct {
+	// Allowance is the bound of extra attempts of all hosts.
+	Allowance balance.Allowance
+	// Processor is the share of a processor that the host has. Zero means a whole
+	// one.
+	Processor float64
+	// CallerLatency is the one-way time between callers and the host.
+	CallerLatency time.Duration
+}
+
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	cfg      Config
+	tuning   atomic.Pointer[Tuning]
 	view     atomic.Pointer[routing.View]
 	beliefs  *beliefs
 	sequence atomic.Uint64
@@ -119,10 +128,18 @@
 
 // New returns a gateway that refuses every request until SetView.
 func New(cfg Config, rng *rand.Rand) *Gateway {
-	if cfg.Processor <= 0 {
-		cfg.Processor = 1
+	g := &Gateway{cfg: cfg, ending: make(chan struct{}), beliefs: newBeliefs(cfg.DataCentre, cfg.Self, rng)}
+	g.SetTuning(cfg.Tuning)
+	return g
+}
+
+// SetTuning replaces the tuning. Requests in progress may keep the former one.
+func (g *Gateway) SetTuning(t Tuning) {
+	if t.Processor <= 0 {
+		t.Processor = 1
 	}
-	return &Gateway{cfg: cfg, ending: make(chan struct{}), beliefs: newBeliefs(cfg.DataCentre, cfg.Allowance, cfg.Self, rng)}
+	g.tuning.Store(&t)
+	g.beliefs.setAllowance(t.Allowance)
 }
 
 // SetView replaces the view. Requests in progress keep the one that they began
@@ -198,6 +215,11 @@
 	return run.serve(ctx)
 }
 
+// Refuse answers a request that is not served because of what its caller sent.
+func (g *Gateway) Refuse(id string, code result.Code) Answer {
+	return g.refuse(&Request{Message: dispatch.Message{ID: id}}, nil, code)
+}
+
 func (g *Gateway) refuse(r *Request, route *routing.Route, code result.Code) Answer {
 	e := Ended{RequestID: r.Message.ID, Code: code}
 	if route != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -122,8 +122,9 @@
 	if r.Fresh {
 		ways = waysFresh
 	}
-	answerTime := max(time.Duration(float64(answerWork)/g.cfg.Processor), leastAnswerTime)
-	reserve := time.Duration(ways)*g.cfg.CallerLatency + answerTime
+	tuning := g.tuning.Load()
+	answerTime := max(time.Duration(float64(answerWork)/tuning.Processor), leastAnswerTime)
+	reserve := time.Duration(ways)*tuning.CallerLatency + answerTime
 	return max(route.Target-reserve, route.Target/leastTarget)
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -90,6 +90,14 @@
 // Leave announces that the host is stopping.
 func (k *Keeper) Leave(ctx context.Context) { k.send(ctx, k.machine.Leave) }
 
+// SetSeeds replaces the seeds.
+func (k *Keeper) SetSeeds(ctx context.Context, seeds []string) {
+	k.send(ctx, func(time.Duration) discovery.Actions {
+		k.machine.SetSeeds(seeds)
+		return discovery.Actions{}
+	})
+}
+
 // send hands an event to the goroutine of Run.
 func (k *Keeper) send(ctx context.Context, step func(time.Duration) discovery.Actions) {
 	select {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -124,6 +124,10 @@
 	PeerQueueFull Code = 344
 	// RelayDeadline: the relay's queue of the replica cannot meet the budget.
 	RelayDeadline Code = 345
+	// HeaderTooLarge: the header of the request is over the limit.
+	HeaderTooLarge Code = 346
+	// RequestUnreadable: what came is not a request, or ended before it was one.
+	RequestUnreadable Code = 347
 	// OutcomeUnknown: the request was sent and no outcome is known.
 	OutcomeUnknown Code = 400
 	// IssuerUnreachable: the permit's host cannot be reached.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -6,6 +6,7 @@
 package result
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 )
@@ -128,3 +129,12 @@
 func FieldErrorf(c Code, field, format string, args ...any) *Error {
 	return &Error{Code: c, Field: field, Reason: fmt.Sprintf(format, args...)}
 }
+
+// CodeOf returns the code of an error, or Internal if it has none.
+func CodeOf(err error) Code {
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded.Code
+	}
+	return Internal
+}
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -62,6 +62,8 @@
 	{Code: SuspectBusy, Name: "suspect-busy", Meaning: "Another attempt of the same crash suspect is running.", Action: "Internal: tried again later."},
 	{Code: PeerQueueFull, Name: "peer-queue-full", Meaning: "The send queue of the peer is full and nothing was sent to it.", Action: "Retry; operators: look for a slow or overloaded host."},
 	{Code: RelayDeadline, Name: "relay-deadline", Meaning: "The relay's queue of the replica cannot meet the budget.", Action: "Internal: another replica is tried."},
+	{Code: HeaderTooLarge, Name: "header-too-large", Meaning: "The header of the request is over the limit.", Action: "Send less, or publish a higher limit."},
+	{Code: RequestUnreadable, Name: "request-unreadable", Meaning: "What came is not a request, or ended before it was one.", Action: "See docs/API.md."},
 	{Code: OutcomeUnknown, Name: "outcome-unknown", Meaning: "The request was sent and no outcome is known.", Action: "Do not repeat it; settle it with the endpoint's owner by the permit ID."},
 	{Code: IssuerUnreachable, Name: "issuer-unreachable", Meaning: "The permit's host cannot be reached.", Action: "Submit the same permit again later."},
 	{Code: IssuerReplaced, Name: "issuer-replaced", Meaning: "The permit's host restarted or was replaced.", Action: "Settle it with the endpoint's owner by the permit ID."},
