Tell when requests get on, how old beliefs are, and what parts of queries lack

Metrics had the time of the whole answer only; on-call could not see whether a slow answer waited for its first reply, for its last shard or for the merge, nor how old a host's beliefs were. A divided query named no host that left shards out, and the hosts that served its parts wrote nothing.

--- a/internal/arch/logs_test.go
+++ b/internal/arch/logs_test.go
@@ -13,6 +13,8 @@
 var (
 	// loggedMessage finds the constant messages of log lines.
 	loggedMessage = regexp.MustCompile(`\.Msg\("([^"]+)"\)`)
+	// loggedEvent finds those that are named constants.
+	loggedEvent = regexp.MustCompile(`(?m)^\s+event\w+\s*= "([^"]+)"`)
 	// loggedChange finds the messages that are typed.
 	loggedChange = regexp.MustCompile(`(?m)^\s+Change\w+\s+(?:ChangeKind)?\s*= "([^"]+)"`)
 	// documentedMessage finds the messages in the table of the page.
@@ -23,7 +25,7 @@
 // Each event that an entry host logs is in the operators' table, and no other is.
 func TestLogEventsAreDocumented(t *testing.T) {
 	g := NewWithT(t)
-	logged := map[string]bool{"step": true, "answered": true, "log lines dropped": true}
+	logged := map[string]bool{"log lines dropped": true}
 	for _, dir := range []string{"entryhost", "keeper", "discovery", "gateway", "forward"} {
 		for _, file := range goFiles(t, filepath.Join("..", dir)) {
 			if strings.HasSuffix(file, "_test.go") {
@@ -31,7 +33,7 @@
 			}
 			source, err := os.ReadFile(file)
 			g.Expect(err).NotTo(HaveOccurred())
-			for _, pattern := range []*regexp.Regexp{loggedMessage, loggedChange} {
+			for _, pattern := range []*regexp.Regexp{loggedMessage, loggedEvent, loggedChange} {
 				for _, m := range pattern.FindAllSubmatch(source, -1) {
 					logged[string(m[1])] = true
 				}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,8 +84,6 @@
 	Stamp  string
 	Header []Field
 	Body   []byte
-	// Closing tells that the endpoint closes the connection after it.
-	Closing bool
 }
 
 // Outcome tells what is known about an attempt.
--- a/internal/endpointhttp/socket.go
+++ b/internal/endpointhttp/socket.go
@@ -4,9 +4,9 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/endpointapi"
 )
 
@@ -30,18 +30,11 @@
 	// readErr is the error of the network, if there was one.
 	readErr error
 
-	raw  syscall.RawConn
-	look func(fd uintptr) bool
-	open bool
+	look *dial.Look
 }
 
 func newSocket(c net.Conn) *socket {
-	s := &socket{Conn: c}
-	if tcp, ok := c.(syscall.Conn); ok {
-		s.raw, _ = tcp.SyscallConn()
-	}
-	s.look = s.peek
-	return s
+	return &socket{Conn: c, look: dial.NewLook(c)}
 }
 
 // begin starts the exchange of a request and its reply.
@@ -74,21 +67,7 @@
 	return n, err
 }
 
-// quiet reports whether the connection is open and has no unread bytes. It does
-// not block and consumes nothing, so that a request is not written to a
-// connection that the endpoint has closed or whose replies are out of step.
-func (s *socket) quiet() bool {
-	if s.raw == nil {
-		return true
-	}
-	s.open = false
-	err := s.raw.Read(s.look)
-	return err == nil && s.open
-}
-
-func (s *socket) peek(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	s.open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-	return true
-}
+// quiet reports whether the connection is open and has no unread bytes, so that a
+// request is not written to a connection that the endpoint has closed or whose
+// replies are out of step.
+func (s *socket) quiet() bool { return s.look.Quiet() }
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -68,6 +68,12 @@
 	ready       atomic.Bool
 	stopping    atomic.Bool
 	warmed      sync.Once
+	// configured is when the configuration in force came, as the time since the
+	// start.
+	configured atomic.Int64
+	// hosts is the number of hosts that share limits. It belongs to the keeper's
+	// goroutine.
+	hosts int
 }
 
 // New returns a host that does not run yet.
@@ -100,9 +106,27 @@
 		Recorder:    recorder,
 	}, newRand(seed[16:]))
 	h.keeper = h.newKeeper()
+	h.addGauges()
 	return h, nil
 }
 
+// addGauges serves how old the host's beliefs are.
+func (h *Host) addGauges() {
+	for name, read := range map[string]func(v *routing.View) float64{
+		telemetry.ConfigurationVersion: func(v *routing.View) float64 { return float64(v.Config.Version) },
+		telemetry.ConfigurationAge:     func(*routing.View) float64 { return (h.now() - time.Duration(h.configured.Load())).Seconds() },
+		telemetry.ViewAge:              func(v *routing.View) float64 { return (h.now() - v.Read).Seconds() },
+		telemetry.ViewReplicas:         func(v *routing.View) float64 { return float64(len(v.Replicas)) },
+	} {
+		h.counters.Gauge(name, func() float64 {
+			if v := h.gateway.View(); v != nil && v.Config != nil {
+				return read(v)
+			}
+			return 0
+		})
+	}
+}
+
 func newRand(seed []byte) *mathrand.Rand {
 	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed), binary.LittleEndian.Uint64(seed[8:])))
 }
@@ -177,7 +201,7 @@
 		Store:        platform.NewStore(s.StoreAddress, now, nil),
 		Now:          now,
 		Publish:      h.publish,
-		PublishPeers: h.gateway.SetPeers,
+		PublishPeers: h.publishPeers,
 		Peers:        h.peers,
 		Part:         h.gateway.ServePart,
 		Log:          h.log,
@@ -208,19 +232,31 @@
 // publish puts a view in force. The first one makes the host ready, once it has
 // connections.
 func (h *Host) publish(v *routing.View, hosts int) {
-	hosts = max(hosts, leastHosts)
-	h.client.SetTargets(h.targets(v, hosts))
-	h.gateway.SetView(v, hosts)
+	h.hosts = max(hosts, leastHosts)
+	if old := h.gateway.View(); v.Config != nil && (old == nil || old.Config == nil || old.Config.Version != v.Config.Version) {
+		h.configured.Store(int64(h.now()))
+	}
+	h.client.SetTargets(h.targets(v))
+	h.gateway.SetView(v, h.hosts)
 	h.warmed.Do(func() { time.AfterFunc(warmWait, h.becomeReady) })
 }
 
+// publishPeers takes the other hosts. The replicas that this host keeps
+// connections to depend on them.
+func (h *Host) publishPeers(peers []split.Peer) {
+	h.gateway.SetPeers(peers)
+	if v := h.gateway.View(); v != nil {
+		h.client.SetTargets(h.targets(v))
+	}
+}
+
 // becomeReady takes requests once the first connections had time to open.
 func (h *Host) becomeReady() {
 	h.ready.Store(true)
 	h.log.Info().Dur("after_ms", h.now()).Msg("ready")
 }
 
-func (h *Host) targets(v *routing.View, hosts int) []forward.Target {
+func (h *Host) targets(v *routing.View) []forward.Target {
 	targets := make([]forward.Target, 0, len(v.Replicas))
 	serves := make(map[string]bool)
 	for key, r := range v.Replicas {
@@ -232,7 +268,7 @@
 			Key:            key,
 			Address:        r.Address,
 			Warm:           serves[r.Service],
-			MaxConnections: max(int(float64(limit)*connectionShare/float64(hosts)), 2),
+			MaxConnections: max(int(float64(limit)*connectionShare/float64(h.hosts)), 2),
 		})
 	}
 	return targets
--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -16,6 +16,7 @@
 // Names of the events of a request in the log.
 const (
 	eventAnswered = "answered"
+	eventPart     = "part answered"
 	eventStep     = "step"
 )
 
@@ -76,9 +77,8 @@
 
 // Answered implements gateway.Recorder.
 func (r *recorder) Answered(e gateway.Ended) {
-	r.counters.Code(telemetry.FamilyAnswers, e.Code)
-	r.counters.Latency(e.Route, e.Code, e.Took)
-	late := e.Target > 0 && e.Took > e.Target
+	r.count(&e)
+	late := e.Target > 0 && e.Took > e.Target && !e.Part
 	if e.Code.Class() == result.ClassComplete && !late && !sampled(e.RequestID) {
 		return
 	}
@@ -89,6 +89,29 @@
 	}
 }
 
+// count counts an answer and its times.
+func (r *recorder) count(e *gateway.Ended) {
+	if e.Part {
+		r.counters.Code(telemetry.FamilyParts, e.Code)
+		return
+	}
+	r.counters.Code(telemetry.FamilyAnswers, e.Code)
+	r.counters.Latency(e.Route, e.Code, e.Took)
+	for _, s := range []struct {
+		name string
+		at   time.Duration
+	}{
+		{telemetry.StageWaiting, e.Stages.Sent},
+		{telemetry.StageFirstReply, e.Stages.FirstReply},
+		{telemetry.StageLastShard, e.Stages.LastShard},
+		{telemetry.StageMerge, e.Stages.Merge},
+	} {
+		if e.Stages.FirstReply > 0 {
+			r.counters.Stage(e.Route, s.name, s.at)
+		}
+	}
+}
+
 func (r *recorder) answer(e *gateway.Ended) {
 	line := r.log.Info().Str("request", e.RequestID).Str("route", e.Route).Uint64("version", e.Version).
 		Int("code", int(e.Code)).Stringer("reason", e.Code).Dur("took_ms", e.Took).Dur("target_ms", e.Target).Dur("left_ms", e.Left).
@@ -96,15 +119,19 @@
 	for _, m := range e.Missing {
 		line.Stringer("missing_"+strconv.Itoa(int(m.Range.Start)), m.Code)
 	}
+	if e.Part {
+		line.Msg(eventPart)
+		return
+	}
 	line.Msg(eventAnswered)
 }
 
 func (r *recorder) step(e *gateway.Ended, s *gateway.Step) {
 	line := r.log.Info().Str("request", e.RequestID).Stringer("kind", s.Kind).Dur("at_ms", s.At).Int("shard", s.Shard)
 	if s.Replica != "" {
-		line.Str("replica", s.Replica).Uint32("attempt", s.Attempt)
+		line.Str(peerField(s.Kind), s.Replica).Uint32("attempt", s.Attempt)
 	}
-	if s.Kind == gateway.StepReply {
+	if s.Kind == gateway.StepReply || s.Kind == gateway.StepPart {
 		line.Dur("took_ms", s.Took)
 	}
 	if s.Code != 0 {
@@ -113,6 +140,14 @@
 	line.Bool("hedge", s.Hedge).Bool("retry", s.Retry).Msg(eventStep)
 }
 
+// peerField returns the name of the field that holds whom a step concerns.
+func peerField(kind gateway.StepKind) string {
+	if kind == gateway.StepPart {
+		return "by"
+	}
+	return "replica"
+}
+
 // sampled reports whether the story of an ordinary request is written.
 func sampled(id string) bool {
 	h := fnv.New32a()
--- a/internal/entryhost/recorder_test.go
+++ b/internal/entryhost/recorder_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/gateway"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 )
 
@@ -50,3 +51,49 @@
 	g.Eventually(log.String, patience).Should(ContainSubstring("request=late"))
 	g.Expect(counters.Value(telemetry.FamilyAnswers, result.NotFound)).To(BeEquivalentTo(200))
 }
+
+// Parts of divided queries are told apart from answers.
+func TestPartsAndStages(t *testing.T) {
+	g := NewWithT(t)
+	log := &logBuffer{}
+	counters := telemetry.NewCounters()
+	r := newRecorder(telemetry.NewLogger(log, "info"), counters, func() time.Duration { return 0 })
+	r.Answered(gateway.Ended{RequestID: "a", Code: result.Partial, Part: true})
+	r.Answered(gateway.Ended{
+		RequestID: "b", Route: "r", Code: result.Partial,
+		Steps:  []gateway.Step{{Kind: gateway.StepPart, Replica: "10.0.0.1:1", Shard: 3, Code: result.PeerUnreachable}},
+		Stages: gateway.Stages{FirstReply: 20 * time.Millisecond, LastShard: 40 * time.Millisecond, Merge: time.Millisecond},
+	})
+	g.Eventually(log.String, patience).Should(And(
+		ContainSubstring(`message="part answered"`),
+		ContainSubstring("by=10.0.0.1:1 code=340"),
+		ContainSubstring("message=answered"),
+	))
+	g.Expect(counters.Value(telemetry.FamilyParts, result.Partial)).To(BeEquivalentTo(1))
+	g.Expect(counters.Value(telemetry.FamilyAnswers, result.Partial)).To(BeEquivalentTo(1))
+	var metrics bytes.Buffer
+	counters.Write(&metrics)
+	for _, stage := range []string{"waiting", "first_reply", "last_shard", "merge"} {
+		g.Expect(metrics.String()).To(ContainSubstring(`gypsumlug_stage_seconds_count{route="r",stage="` + stage + `"} 1`))
+	}
+}
+
+// The gauges tell of the view in force, and nothing before there is one.
+func TestGauges(t *testing.T) {
+	g := NewWithT(t)
+	s, err := ParseSettings([]byte(settingsText))
+	g.Expect(err).NotTo(HaveOccurred())
+	counters := telemetry.NewCounters()
+	h, err := New(s, telemetry.NewLogger(&bytes.Buffer{}, "info"), counters)
+	g.Expect(err).NotTo(HaveOccurred())
+	text := func() string {
+		var out bytes.Buffer
+		counters.Write(&out)
+		return out.String()
+	}
+	g.Expect(text()).To(ContainSubstring(telemetry.ConfigurationVersion + " 0\n"))
+	config := &routing.Config{Version: 7}
+	config.Index()
+	h.publish(routing.NewView(config, []*routing.Replica{{ID: "i", Service: "s", Address: "127.0.0.1:9"}}, h.now()), 1)
+	g.Expect(text()).To(And(ContainSubstring(telemetry.ConfigurationVersion+" 7\n"), ContainSubstring(telemetry.ViewReplicas+" 1\n")))
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -32,6 +32,7 @@
 	rng       *rand.Rand
 	table     *balance.Table
 	allowance balance.Allowance
+	view      *routing.View
 	hosts     int
 	// sharers is the number of hosts that share the allowance of a service whose
 	// shards are divided; the others are shared by all.
@@ -59,12 +60,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers.SetPeers(peers)
+	if b.view != nil {
+		b.share()
+	}
 }
 
-// ownGroup returns the group of this host.
-func (b *beliefs) ownGroup(groups int) int {
+// noGroup is no host's group.
+const noGroup = -1
+
+// ownGroup returns the group that this host serves of a query whose replicas are
+// near some data centres, or noGroup if hosts there serve all.
+func (b *beliefs) ownGroup(groups int, near []string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.peers.Elsewhere(near) {
+		return noGroup
+	}
 	return b.peers.Own(groups)
 }
 
@@ -76,10 +87,10 @@
 }
 
 // pickPeer chooses a host of a group and notes a request to it.
-func (b *beliefs) pickPeer(now time.Duration, group, groups int) (string, bool) {
+func (b *beliefs) pickPeer(now time.Duration, group, groups int, near []string) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	address, ok := b.peers.Pick(now, group, groups, b.rng)
+	address, ok := b.peers.Pick(now, group, groups, near, b.rng)
 	if ok {
 		b.peers.Sent(address)
 	}
@@ -124,8 +135,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.SetReplicas(v.Replicas)
-	b.hosts = hosts
-	b.sharers = b.divisions(v)
+	b.view, b.hosts = v, hosts
+	b.share()
+}
+
+// share works out who shares the allowance of each service; the caller holds mu.
+func (b *beliefs) share() {
+	b.sharers = b.divisions(b.view)
 	b.resize()
 }
 
--- a/internal/gateway/division.go
+++ b/internal/gateway/division.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 )
@@ -39,6 +40,8 @@
 	groups  []groupState
 	results chan groupResult
 	pending int
+	trace   trace
+	stages  Stages
 }
 
 // groupState is the progress of one group of shards.
@@ -51,7 +54,10 @@
 
 type groupResult struct {
 	group int
-	reply *split.Reply
+	// address is the host that was asked.
+	address string
+	took    time.Duration
+	reply   *split.Reply
 	// refused tells that the host did not take the request.
 	refused bool
 }
@@ -78,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.target)
 	defer cancel()
-	own := g.beliefs.ownGroup(groups)
+	own := g.beliefs.ownGroup(groups, plan.DataCentres)
 	for i, shards := range dealt {
 		d.groups[i].shards = shards
 		if len(shards) == 0 {
@@ -94,7 +100,7 @@
 
 // ask sends a group's shards to another host.
 func (d *division) ask(ctx context.Context, group int) bool {
-	address, ok := d.g.beliefs.pickPeer(d.g.cfg.Now(), group, len(d.groups))
+	address, ok := d.g.beliefs.pickPeer(d.g.cfg.Now(), group, len(d.groups), d.plan.DataCentres)
 	if !ok {
 		return false
 	}
@@ -106,6 +112,7 @@
 		Message: d.request.Message,
 		Target:  d.target - hopTime,
 	}
+	asked := d.g.cfg.Now()
 	go func() {
 		reply, err := d.g.cfg.Peers.Part(ctx, address, request)
 		ok := err == nil && reply != nil && reply.Code == 0
@@ -114,7 +121,7 @@
 		if !ok {
 			reply = nil
 		}
-		d.results <- groupResult{group: group, reply: reply, refused: refused}
+		d.results <- groupResult{group: group, address: address, took: d.g.cfg.Now() - asked, reply: reply, refused: refused}
 	}()
 	return true
 }
@@ -127,9 +134,11 @@
 	s := &d.groups[group]
 	s.open = true
 	shards := s.shards
-	left := d.target - mergeTime - (d.g.cfg.Now() - d.started)
+	asked := d.g.cfg.Now()
+	left := d.target - mergeTime - (asked - d.started)
 	go func() {
-		d.results <- groupResult{group: group, reply: d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)}
+		reply := d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)
+		d.results <- groupResult{group: group, address: d.g.cfg.Self.Address, took: d.g.cfg.Now() - asked, reply: reply}
 	}()
 }
 
@@ -153,6 +162,22 @@
 	return true
 }
 
+// note keeps what the time of a part tells, and a part that lacks shards.
+func (d *division) note(r groupResult) {
+	at := d.g.cfg.Now() - d.started
+	lacking, code := len(d.groups[r.group].shards), result.PeerUnreachable
+	if r.reply != nil {
+		lacking, code = len(r.reply.Missing), result.Partial
+		if d.stages.FirstReply == 0 {
+			d.stages.FirstReply = at
+		}
+		d.stages.LastShard = at
+	}
+	if lacking > 0 {
+		d.trace.add(Step{Kind: StepPart, At: at, Shard: lacking, Replica: r.address, Code: code, Took: r.took})
+	}
+}
+
 // take notes a group's result. This host takes the place of one that provably did
 // not take the request; the shards of one that was lost are missing, since its
 // replicas count towards those that the request may be sent to.
@@ -160,6 +185,7 @@
 	s := &d.groups[r.group]
 	s.open = false
 	s.best = r.reply
+	d.note(r)
 	switch {
 	case r.refused:
 		d.serveHere(ctx, r.group)
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -55,6 +56,9 @@
 // fleet is hosts of one data centre that ask each other in process.
 type fleet struct {
 	hosts map[string]*gateway.Gateway
+	// asked counts the parts that hosts were asked for.
+	mu    sync.Mutex
+	asked map[string]int
 	// fail makes a host's parts fail.
 	fail func(address string) error
 	// silent hosts never reply, lost ones serve their part and then don't.
@@ -63,6 +67,9 @@
 }
 
 func (f *fleet) Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error) {
+	f.mu.Lock()
+	f.asked[address]++
+	f.mu.Unlock()
 	if f.silent != nil && f.silent(address) {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -81,19 +88,25 @@
 
 var errLost = errors.New("connection reset")
 
+// newFleet returns n hosts in the data centre of the replicas.
 func newFleet(n int, slack float64) (*fleet, *replicas, []*gateway.Gateway) {
-	f := &fleet{hosts: map[string]*gateway.Gateway{}}
+	return newFleetIn(slack, slices.Repeat([]string{"a"}, n)...)
+}
+
+// newFleetIn returns a host in each of some data centres.
+func newFleetIn(slack float64, centres ...string) (*fleet, *replicas, []*gateway.Gateway) {
+	f := &fleet{hosts: map[string]*gateway.Gateway{}, asked: map[string]int{}}
 	sender := &replicas{sent: map[string]int{}}
 	started := time.Now()
 	var peers []split.Peer
-	for i := range n {
-		peers = append(peers, split.Peer{Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "a"})
+	for i, centre := range centres {
+		peers = append(peers, split.Peer{Address: fmt.Sprintf("10.%s.0.%d:1", centre, i), DataCentre: centre})
 	}
 	view := routing.NewView(wide(1))
 	var hosts []*gateway.Gateway
 	for i, p := range peers {
 		g := gateway.New(gateway.Config{
-			DataCentre: "a", Incarnation: uint64(i + 1), Tuning: gateway.Tuning{Allowance: balance.Allowance{Ratio: 0.2, Slack: slack}},
+			DataCentre: p.DataCentre, Incarnation: uint64(i + 1), Tuning: gateway.Tuning{Allowance: balance.Allowance{Ratio: 0.2, Slack: slack}},
 			Now: func() time.Duration { return time.Since(started) }, Sender: sender, Recorder: silent{}, Self: p, Peers: f,
 		}, rand.New(rand.NewPCG(uint64(i), 1)))
 		g.SetPeers(peers)
@@ -115,7 +128,7 @@
 		name := fmt.Sprintf("s%02d", i)
 		route.Shards = append(route.Shards, name)
 		for _, copy := range []string{"a", "b", "c"} {
-			all = append(all, &routing.Replica{ID: name + copy, Service: name, Address: name + copy, Slots: 2})
+			all = append(all, &routing.Replica{ID: name + copy, Service: name, Address: name + copy, DataCentre: "a", Slots: 2})
 		}
 	}
 	c := &routing.Config{Version: version, Routes: []routing.Route{route}}
@@ -145,6 +158,26 @@
 	g.Expect(a.Records).To(HaveLen(10 * query.RecordSize))
 }
 
+// A host far from the replicas asks hosts near them for every part.
+func TestQueryIsServedNearTheReplicas(t *testing.T) { synctest.Test(t, queryIsServedNearTheReplicas) }
+
+func queryIsServedNearTheReplicas(t *testing.T) {
+	g := NewWithT(t)
+	f, sender, hosts := newFleetIn(100, append(slices.Repeat([]string{"a"}, 24), slices.Repeat([]string{"b"}, 24)...)...)
+	expectWhole(g, ask(hosts[30]))
+	parts := 0
+	for address, n := range f.asked {
+		g.Expect(address).To(HavePrefix("10.a."))
+		parts += n
+	}
+	g.Expect(parts).To(Equal(6))
+	total := 0
+	for _, n := range sender.sent {
+		total += n
+	}
+	g.Expect(total).To(Equal(shards))
+}
+
 func TestDividedQueryIsWhole(t *testing.T) { synctest.Test(t, dividedQueryIsWhole) }
 
 func dividedQueryIsWhole(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,22 @@
 	Target time.Duration
 	// Steps are what explains the end of the request.
 	Steps []Step
+	// Stages are when the request got on.
+	Stages Stages
+	// Part tells that the request is a part of a query of another host, or of this
+	// one, and not a caller's.
+	Part bool
+}
+
+// Stages are the times since the beginning of a request at which it got on. Zero
+// means that it did not get there.
+type Stages struct {
+	// Sent is when the first attempt was sent.
+	Sent time.Duration
+	// FirstReply and LastShard are when the first and the last good reply came.
+	FirstReply, LastShard time.Duration
+	// Merge is how long the merge of the replies took.
+	Merge time.Duration
 }
 
 // Request is a caller's request.
@@ -221,12 +237,23 @@
 }
 
 func (g *Gateway) refuse(r *Request, route *routing.Route, code result.Code) Answer {
-	e := Ended{RequestID: r.Message.ID, Code: code}
+	g.cfg.Recorder.Answered(g.ended(r, g.view.Load(), route, code, g.cfg.Now()))
+	return Answer{Code: code, RetryAfter: g.retryAfter(r.Patience)}
+}
+
+// ended describes the end of a request that began at a time. The view and the
+// route are nil if the request was refused before it had them.
+func (g *Gateway) ended(r *Request, v *routing.View, route *routing.Route, code result.Code, started time.Duration) Ended {
+	now := g.cfg.Now()
+	e := Ended{RequestID: r.Message.ID, Code: code, Took: now - started, Hosts: g.beliefs.fleet()}
+	if v != nil && v.Config != nil {
+		e.Version = v.Config.Version
+		e.ViewAge = now - v.Read
+	}
 	if route != nil {
 		e.Route = route.Name
 	}
-	g.cfg.Recorder.Answered(e)
-	return Answer{Code: code, RetryAfter: g.retryAfter(r.Patience)}
+	return e
 }
 
 // Bounds of the time after which a caller is told to come back.
--- a/internal/gateway/merge.go
+++ b/internal/gateway/merge.go
@@ -78,19 +78,9 @@
 }
 
 func (d *division) record(code result.Code, m *merged) {
-	now := d.g.cfg.Now()
-	d.g.cfg.Recorder.Answered(Ended{
-		RequestID: d.request.Message.ID,
-		Route:     d.route.Name,
-		Code:      code,
-		Took:      now - d.started,
-		Left:      d.target,
-		Target:    d.target,
-		Shards:    len(d.plan.Services),
-		Covered:   m.covered,
-		Attempts:  m.attempts,
-		Version:   d.view.Config.Version,
-		ViewAge:   now - d.view.Read,
-		Hosts:     d.g.beliefs.fleet(),
-	})
+	e := d.g.ended(d.request, d.view, d.route, code, d.started)
+	e.Left, e.Target = d.target, d.target
+	e.Shards, e.Covered, e.Attempts = len(d.plan.Services), m.covered, m.attempts
+	e.Steps, e.Stages = d.trace.steps, d.stages
+	d.g.cfg.Recorder.Answered(e)
 }
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -42,7 +42,8 @@
 	if a == nil {
 		return nil
 	}
-	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: query.MergeRecords(a.Responses, route.TopRecords)}
+	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: run.merge(a.Responses)}
+	run.recordPart(a)
 	for _, p := range a.Responses {
 		reply.Stamps = append(reply.Stamps, p.Stamp)
 	}
@@ -52,6 +53,17 @@
 	return reply
 }
 
+// recordPart tells of the end of a part of a query.
+func (r *run) recordPart(a *query.Answer) {
+	code := result.Complete
+	if a.Covered < a.Shards {
+		code = result.Partial
+	}
+	e := r.ended(code, a)
+	e.Part = true
+	r.g.cfg.Recorder.Answered(e)
+}
+
 // subPlan returns the plan of some shards.
 func subPlan(plan *routing.Plan, shards []int) *routing.Plan {
 	whole := plan.Index.Snapshots[0]
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -41,6 +41,7 @@
 	query   *query.Query
 	replies chan timedReply
 	trace   trace
+	stages  Stages
 	// over is closed when the request is answered, and no reply is read.
 	over chan struct{}
 }
@@ -158,7 +159,7 @@
 		timer.Reset(r.query.Next() - r.g.cfg.Now())
 		select {
 		case reply := <-r.replies:
-			r.trace.reply(r.g.cfg.Now()-r.started, &reply.Reply, reply.took)
+			r.note(&reply)
 			answer = r.apply(r.query.Reply(r.g.cfg.Now(), reply.Reply))
 		case <-timer.C:
 			answer = r.apply(r.query.Tick(r.g.cfg.Now()))
@@ -174,6 +175,19 @@
 	return answer
 }
 
+// note keeps what the time of a reply tells.
+func (r *run) note(reply *timedReply) {
+	at := r.g.cfg.Now() - r.started
+	r.trace.reply(at, &reply.Reply, reply.took)
+	if reply.Outcome != dispatch.OK {
+		return
+	}
+	if r.stages.FirstReply == 0 {
+		r.stages.FirstReply = at
+	}
+	r.stages.LastShard = at
+}
+
 // apply carries out the actions of the query machine and returns its answer.
 func (r *run) apply(a query.Actions) *query.Answer {
 	for _, req := range a.Dispatch {
@@ -191,6 +205,9 @@
 
 func (r *run) send(req dispatch.Request) {
 	sent := r.g.cfg.Now()
+	if r.stages.Sent == 0 {
+		r.stages.Sent = sent - r.started
+	}
 	attempt := r.g.beliefs.sent(sent, r.route.Name, req.Endpoint)
 	r.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := r.g.cfg.Now()
@@ -232,7 +249,7 @@
 			Code:    a.Code,
 			Parts:   a.Responses,
 			Missing: a.Shards - a.Covered,
-			Records: query.MergeRecords(a.Responses, r.route.TopRecords),
+			Records: r.merge(a.Responses),
 		}
 	case a.Covered >= least:
 		return Answer{Code: result.Complete, Response: a.Responses[0]}
@@ -245,6 +262,14 @@
 	}
 }
 
+// merge returns the greatest records of the responses.
+func (r *run) merge(responses []*dispatch.Response) []byte {
+	began := r.g.cfg.Now()
+	records := query.MergeRecords(responses, r.route.TopRecords)
+	r.stages.Merge = r.g.cfg.Now() - began
+	return records
+}
+
 // notRun returns why no endpoint ran the request.
 func notRun(a *query.Answer) result.Code {
 	if a.Code.Class() == result.ClassNotRun {
@@ -254,21 +279,14 @@
 }
 
 func (r *run) record(code result.Code, a *query.Answer) {
-	now := r.g.cfg.Now()
-	r.g.cfg.Recorder.Answered(Ended{
-		RequestID: r.request.Message.ID,
-		Route:     r.route.Name,
-		Code:      code,
-		Took:      now - r.started,
-		Left:      r.left,
-		Shards:    a.Shards,
-		Covered:   a.Covered,
-		Attempts:  a.Dispatched,
-		Version:   r.view.Config.Version,
-		ViewAge:   now - r.view.Read,
-		Missing:   a.Missing,
-		Hosts:     r.g.beliefs.fleet(),
-		Target:    r.target,
-		Steps:     r.trace.steps,
-	})
+	r.g.cfg.Recorder.Answered(r.ended(code, a))
+}
+
+func (r *run) ended(code result.Code, a *query.Answer) Ended {
+	e := r.g.ended(r.request, r.view, r.route, code, r.started)
+	e.Left, e.Target = r.left, r.target
+	e.Shards, e.Covered, e.Attempts = a.Shards, a.Covered, a.Dispatched
+	e.Missing = a.Missing
+	e.Steps, e.Stages = r.trace.steps, r.stages
+	return e
 }
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -19,10 +19,13 @@
 	StepReply
 	// StepDenied is a hedge or retry that the budget did not allow.
 	StepDenied
+	// StepPart is the end of a part that lacks shards; Replica is the host that
+	// served it, and Shard the number of shards that it lacks.
+	StepPart
 )
 
 // String returns the name of the kind.
-func (k StepKind) String() string { return [...]string{"sent", "reply", "denied"}[k] }
+func (k StepKind) String() string { return [...]string{"sent", "reply", "denied", "part"}[k] }
 
 // Step is one step of a request, for the log.
 type Step struct {
@@ -30,7 +33,7 @@
 	// At is the time since the request began.
 	At      time.Duration
 	Shard   int
-	Replica string
+	Replica string // or, of a part, the host
 	Attempt uint32
 	Code    result.Code
 	Took    time.Duration
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -60,8 +60,6 @@
 // Service holds what the replicas of a service have in common.
 type Service struct {
 	Name string
-	// HealthPath is the path of a replica's health check.
-	HealthPath string
 	// MaxConnections is the cap of open connections to a replica over all hosts.
 	MaxConnections int
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -57,11 +57,27 @@
 	for _, order := range [][]*routing.Replica{{old, last, leaving}, {last, leaving, old}} {
 		v := routing.NewView(config(), order, 0)
 		g.Expect(v.Replicas).To(HaveLen(1))
-		g.Expect(v.Of("s0")).To(BeEmpty())
-		g.Expect(v.Of("s1")).To(Equal([]string{"b@2"}))
+		shards := v.Plan(&v.Config.Routes[1], "").Index.Snapshots[0].Shards
+		g.Expect(shards[0].Replicas).To(BeEmpty())
+		g.Expect(shards[1].Replicas).To(Equal([]string{"b@2"}))
 	}
 }
 
+// A data centre is near an index if it has replicas of half of the shards.
+func TestViewTellsWhereReplicasAre(t *testing.T) {
+	g := NewWithT(t)
+	c := config()
+	v := routing.NewView(c, []*routing.Replica{
+		{ID: "a", Service: "s0", Address: "10.0.0.1:1", DataCentre: "one"},
+		{ID: "b", Service: "s1", Address: "10.0.0.2:1", DataCentre: "two"},
+		{ID: "c", Service: "s1", Address: "10.0.0.3:1", DataCentre: "two"},
+		{ID: "d", Service: "q", Address: "10.0.0.4:1", DataCentre: "three"},
+	}, 0)
+	g.Expect(v.Plan(&c.Routes[1], "").DataCentres).To(Equal([]string{"one", "two"}))
+	g.Expect(v.Plan(&c.Routes[2], "q").DataCentres).To(Equal([]string{"three"}))
+	g.Expect(v.Plan(&c.Routes[2], "p").DataCentres).To(BeEmpty())
+}
+
 func TestViewPlansRoutes(t *testing.T) {
 	g := NewWithT(t)
 	c := config()
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -41,6 +41,8 @@
 	// Digest identifies them.
 	Services []string
 	Digest   uint64
+	// DataCentres are those that have replicas of half of the shards or more.
+	DataCentres []string
 }
 
 // View is a configuration joined with the replicas that take requests.
@@ -134,16 +136,37 @@
 		})
 	}
 	return &Plan{
-		Service:  s,
-		Index:    &config.Index{Service: r.Name, Snapshots: []config.Snapshot{snapshot}},
-		Services: services,
-		Digest:   split.Digest(services),
+		Service:     s,
+		Index:       &config.Index{Service: r.Name, Snapshots: []config.Snapshot{snapshot}},
+		Services:    services,
+		Digest:      split.Digest(services),
+		DataCentres: v.near(services),
 	}
 }
 
+// near returns the data centres that have replicas of half of the services or
+// more, sorted.
+func (v *View) near(services []string) []string {
+	served := make(map[string]int)
+	for _, service := range services {
+		seen := make(map[string]bool)
+		for _, key := range v.byService[service] {
+			if centre := v.Replicas[key].DataCentre; !seen[centre] {
+				seen[centre] = true
+				served[centre]++
+			}
+		}
+	}
+	var out []string
+	for centre, n := range served {
+		if 2*n >= len(services) {
+			out = append(out, centre)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Plan returns the plan of a route; service is the part that was chosen, or
 // empty for a route with shards.
 func (v *View) Plan(r *Route, service string) *Plan { return v.plans[planName(r, service)] }
-
-// Of returns the keys of a service's replicas that take requests.
-func (v *View) Of(service string) []string { return v.byService[service] }
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -4,17 +4,20 @@
 // the query has, and all hosts together more connections than the replicas
 // accept. So the shards and the hosts are dealt into groups by hash. A host asks
 // one host of each group in its own data centre for that group's shards, serves
-// those of its own group itself, and merges the parts. Groups are an efficiency
-// only: any host can serve any shard, and a host whose helper fails does so.
+// those of its own group itself, and merges the parts. A host whose data centre
+// has few of the replicas asks hosts of those that have them, for all groups, so
+// that one message a group crosses between data centres and not one a shard.
+// Groups are an efficiency only: any host can serve any shard, and a host whose
+// helper fails does so.
 //
-// A [Table] knows the hosts of the own data centre and which of them failed
-// lately. It is fed with events and the monotonic time; it is not safe for
+// A [Table] knows the other hosts and which of them failed lately. It is fed with events and the monotonic time; it is not safe for
 // concurrent use.
 package split
 
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,8 +80,11 @@
 
 // Table knows the hosts that may be asked.
 type Table struct {
-	self  Peer
-	peers []string
+	self Peer
+	// peers are sorted by address; local is the number of those in the own data
+	// centre.
+	peers []Peer
+	local int
 	state map[string]*peerState
 }
 
@@ -91,17 +97,21 @@
 // NewTable returns a table of the host itself.
 func NewTable(self Peer) *Table { return &Table{self: self, state: make(map[string]*peerState)} }
 
-// SetPeers replaces the other hosts. Those of other data centres are not asked.
+// SetPeers replaces the other hosts.
 func (t *Table) SetPeers(peers []Peer) {
-	t.peers = t.peers[:0]
+	t.peers, t.local = t.peers[:0], 0
 	known := make(map[string]bool, len(peers))
 	for _, p := range peers {
 		known[p.Address] = true
-		if p.DataCentre == t.self.DataCentre && p.Address != t.self.Address {
-			t.peers = append(t.peers, p.Address)
+		if p.Address == t.self.Address {
+			continue
+		}
+		t.peers = append(t.peers, p)
+		if p.DataCentre == t.self.DataCentre {
+			t.local++
 		}
 	}
-	slices.Sort(t.peers)
+	slices.SortFunc(t.peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
 	for address := range t.state {
 		if !known[address] {
 			delete(t.state, address)
@@ -115,7 +125,7 @@
 	if shards < wideIndex {
 		return 1
 	}
-	return max(min((shards+shardsPerGroup-1)/shardsPerGroup, (len(t.peers)+1)/hostsPerGroup), 1)
+	return max(min((shards+shardsPerGroup-1)/shardsPerGroup, (t.local+1)/hostsPerGroup), 1)
 }
 
 // Own returns the group of this host.
@@ -148,14 +158,23 @@
 
 func groupOf(name string, groups int) int { return int(xxhash.Sum64String(name) % uint64(groups)) }
 
+// Elsewhere reports whether a query is best served from other data centres: the
+// own one is not among those near the replicas.
+func (t *Table) Elsewhere(near []string) bool {
+	return len(near) > 0 && !slices.Contains(near, t.self.DataCentre)
+}
+
 // Pick chooses a host of a group: of two at random the one with fewer requests
-// from here. It returns false if the group has none that is not held.
-func (t *Table) Pick(now time.Duration, group, groups int, rng *rand.Rand) (string, bool) {
+// from here. It is of the own data centre if that is near the replicas or near is
+// empty, or else of one that is; failing that, of the own one. It returns false if
+// there is none that is not held.
+func (t *Table) Pick(now time.Duration, group, groups int, near []string, rng *rand.Rand) (string, bool) {
 	var candidates []string
-	for _, p := range t.peers {
-		if groupOf(p, groups) == group && now >= t.of(p).heldUntil {
-			candidates = append(candidates, p)
-		}
+	if t.Elsewhere(near) {
+		candidates = t.candidates(now, group, groups, func(centre string) bool { return slices.Contains(near, centre) })
+	}
+	if len(candidates) == 0 {
+		candidates = t.candidates(now, group, groups, func(centre string) bool { return centre == t.self.DataCentre })
 	}
 	if len(candidates) == 0 {
 		return "", false
@@ -167,6 +186,17 @@
 	return a, true
 }
 
+// candidates returns the hosts of a group in some data centres that are not held.
+func (t *Table) candidates(now time.Duration, group, groups int, in func(centre string) bool) []string {
+	var out []string
+	for _, p := range t.peers {
+		if in(p.DataCentre) && groupOf(p.Address, groups) == group && now >= t.of(p.Address).heldUntil {
+			out = append(out, p.Address)
+		}
+	}
+	return out
+}
+
 // Sent notes a request to a host.
 func (t *Table) Sent(address string) { t.of(address).inFlight++ }
 
--- a/internal/split/split_test.go
+++ b/internal/split/split_test.go
@@ -67,7 +67,7 @@
 	now := time.Second
 	seen := map[string]bool{}
 	for range 100 {
-		address, ok := table.Pick(now, 0, 1, rng)
+		address, ok := table.Pick(now, 0, 1, nil, rng)
 		g.Expect(ok).To(BeTrue())
 		seen[address] = true
 	}
@@ -75,16 +75,46 @@
 	table.Sent("10.a.0.0:1")
 	table.Ended(now, "10.a.0.0:1", false)
 	for range 50 {
-		address, _ := table.Pick(now, 0, 1, rng)
+		address, _ := table.Pick(now, 0, 1, nil, rng)
 		g.Expect(address).To(Equal("10.a.0.1:1"))
 	}
 	table.Ended(now, "10.a.0.1:1", false)
-	_, ok := table.Pick(now, 0, 1, rng)
+	_, ok := table.Pick(now, 0, 1, nil, rng)
 	g.Expect(ok).To(BeFalse())
-	_, ok = table.Pick(now+10*time.Second, 0, 1, rng)
+	_, ok = table.Pick(now+10*time.Second, 0, 1, nil, rng)
 	g.Expect(ok).To(BeTrue())
 }
 
+// Hosts near the replicas are asked, and those of the own data centre without any.
+func TestPickNearTheReplicas(t *testing.T) {
+	for name, c := range map[string]struct {
+		near, failed []string
+		want         string
+	}{
+		"own data centre is near":          {near: []string{"a", "b"}, want: "10.a."},
+		"nowhere is near":                  {want: "10.a."},
+		"another one is near":              {near: []string{"b"}, want: "10.b."},
+		"the near one has no hosts":        {near: []string{"c"}, want: "10.a."},
+		"the hosts of the near one failed": {near: []string{"b"}, failed: []string{"10.b.0.0:1", "10.b.0.1:1"}, want: "10.a."},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			rng := rand.New(rand.NewPCG(1, 2))
+			table := split.NewTable(split.Peer{Address: "10.0.0.200:1", DataCentre: "a"})
+			table.SetPeers(append(peers(2, "a"), peers(2, "b")...))
+			for _, address := range c.failed {
+				table.Sent(address)
+				table.Ended(time.Second, address, false)
+			}
+			for range 30 {
+				address, ok := table.Pick(time.Second, 0, 1, c.near, rng)
+				g.Expect(ok).To(BeTrue())
+				g.Expect(address).To(HavePrefix(c.want))
+			}
+		})
+	}
+}
+
 func TestDigestTellsIndexesApart(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(split.Digest([]string{"a", "b"})).To(Equal(split.Digest([]string{"a", "b"})))
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -34,6 +34,8 @@
 	FamilyRefusals = "gypsumlug_refusals_total"
 	// FamilyRetries counts retries by the code that caused them.
 	FamilyRetries = "gypsumlug_retries_total"
+	// FamilyParts counts parts of divided queries.
+	FamilyParts = "gypsumlug_parts_total"
 	// FamilyAttempts counts ended attempts.
 	FamilyAttempts = "gypsumlug_attempts_total"
 	// FamilyConfiguration counts refused revisions and documents.
@@ -51,13 +53,17 @@
 
 	mu     sync.RWMutex
 	byCode map[codeKey]*metrics.Counter
-	// latencies are by route and class of code.
+	// latencies are by route and class of code or stage, routes those that have
+	// some.
 	latencies map[latencyKey]*metrics.Histogram
+	routes    map[string]bool
 }
 
 type latencyKey struct {
 	route string
 	class result.Class
+	// stage is empty for the time of the answer.
+	stage string
 }
 
 type codeKey struct {
@@ -67,7 +73,7 @@
 
 // NewCounters returns counters in a set of their own.
 func NewCounters() *Counters {
-	return &Counters{set: metrics.NewSet(), byCode: make(map[codeKey]*metrics.Counter), latencies: make(map[latencyKey]*metrics.Histogram)}
+	return &Counters{set: metrics.NewSet(), byCode: make(map[codeKey]*metrics.Counter), latencies: make(map[latencyKey]*metrics.Histogram), routes: make(map[string]bool)}
 }
 
 // Code counts one event of a family by its result code.
@@ -121,25 +127,68 @@
 	StoriesSkipped = "gypsumlug_log_stories_skipped_total"
 )
 
+// Gauges of what a host believes.
+const (
+	// ConfigurationVersion is the version in force, and ConfigurationAge how long it
+	// has been.
+	ConfigurationVersion = "gypsumlug_configuration_version"
+	ConfigurationAge     = "gypsumlug_configuration_age_seconds"
+	// ViewAge is how long ago the store, or a host that asked it, last confirmed the
+	// replicas, of which there are ViewReplicas.
+	ViewAge      = "gypsumlug_view_age_seconds"
+	ViewReplicas = "gypsumlug_view_replicas"
+)
+
 // maxLatencyRoutes bounds the routes with a histogram of their own; further ones
 // share one without a name.
 const maxLatencyRoutes = 64
 
+// Stages of a request.
+const (
+	// StageWaiting ends when the first attempt is sent.
+	StageWaiting = "waiting"
+	// StageFirstReply and StageLastShard end with the first and the last good reply.
+	StageFirstReply = "first_reply"
+	StageLastShard  = "last_shard"
+	// StageMerge is the merge of the replies alone.
+	StageMerge = "merge"
+)
+
+// Gauge serves a value that is read when the metrics are.
+func (c *Counters) Gauge(name string, read func() float64) { c.set.NewGauge(name, read) }
+
+// Stage records when a request of a route got to a stage.
+func (c *Counters) Stage(route, stage string, at time.Duration) {
+	c.observe(latencyKey{route: route, stage: stage}, at)
+}
+
 // Latency records the time of an answer by route and class of its code.
 func (c *Counters) Latency(route string, code result.Code, took time.Duration) {
-	key := latencyKey{route: route, class: code.Class()}
+	c.observe(latencyKey{route: route, class: code.Class()}, took)
+}
+
+func (c *Counters) observe(key latencyKey, took time.Duration) {
 	c.mu.Lock()
+	if !c.routes[key.route] && len(c.routes) >= maxLatencyRoutes {
+		key.route = "other"
+	}
+	c.routes[key.route] = true
 	h := c.latencies[key]
 	if h == nil {
-		if len(c.latencies) >= maxLatencyRoutes {
-			key.route = "other"
-		}
-		h = c.set.GetOrCreateHistogram(fmt.Sprintf(`gypsumlug_answer_seconds{route=%q,class=%q}`, key.route, key.class))
+		h = c.set.GetOrCreateHistogram(key.name())
 		c.latencies[key] = h
 	}
 	c.mu.Unlock()
 	h.Update(took.Seconds())
 }
 
+// name returns the name of a histogram.
+func (k latencyKey) name() string {
+	if k.stage != "" {
+		return fmt.Sprintf(`gypsumlug_stage_seconds{route=%q,stage=%q}`, k.route, k.stage)
+	}
+	return fmt.Sprintf(`gypsumlug_answer_seconds{route=%q,class=%q}`, k.route, k.class)
+}
+
 // Inc counts one event of a counter.
 func (c *Counters) Inc(name string) { c.Counter(name).Inc() }
