Share a replica's connections among the hosts that keep them

Each host allowed itself two connections to each replica however small its share was. A host now takes its share, at least one, of the hosts that keep connections to the replica: those of its group for a divided index, all others otherwise.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -71,9 +71,6 @@
 	// configured is when the configuration in force came, as the time since the
 	// start.
 	configured atomic.Int64
-	// hosts is the number of hosts that share limits. It belongs to the keeper's
-	// goroutine.
-	hosts int
 }
 
 // New returns a host that does not run yet.
@@ -232,12 +229,12 @@
 // publish puts a view in force. The first one makes the host ready, once it has
 // connections.
 func (h *Host) publish(v *routing.View, hosts int) {
-	h.hosts = max(hosts, leastHosts)
 	if old := h.gateway.View(); v.Config != nil && (old == nil || old.Config == nil || old.Config.Version != v.Config.Version) {
 		h.configured.Store(int64(h.now()))
 	}
+	h.gateway.SetHosts(max(hosts, leastHosts))
 	h.client.SetTargets(h.targets(v))
-	h.gateway.SetView(v, h.hosts)
+	h.gateway.SetView(v)
 	h.warmed.Do(func() { time.AfterFunc(warmWait, h.becomeReady) })
 }
 
@@ -258,22 +255,33 @@
 
 func (h *Host) targets(v *routing.View) []forward.Target {
 	targets := make([]forward.Target, 0, len(v.Replicas))
-	serves := make(map[string]bool)
+	shares := make(map[string]connections)
 	for key, r := range v.Replicas {
-		if _, known := serves[r.Service]; !known {
-			serves[r.Service] = h.gateway.Serves(v, r.Service)
+		share, known := shares[r.Service]
+		if !known {
+			share = h.connections(v, r.Service)
+			shares[r.Service] = share
 		}
-		limit := v.Config.Services[r.Service].MaxConnections
-		targets = append(targets, forward.Target{
-			Key:            key,
-			Address:        r.Address,
-			Warm:           serves[r.Service],
-			MaxConnections: max(int(float64(limit)*connectionShare/float64(h.hosts)), 2),
-		})
+		targets = append(targets, forward.Target{Key: key, Address: r.Address, Warm: share.warm, MaxConnections: share.most})
 	}
 	return targets
 }
 
+// connections are those of this host to each replica of a service.
+type connections struct {
+	most int
+	// warm tells that one is kept open.
+	warm bool
+}
+
+// connections returns this host's share of the connections to a replica of a
+// service. Each host may have one, even if that passes the cap in all.
+func (h *Host) connections(v *routing.View, service string) connections {
+	hosts, here := h.gateway.Connecting(v, service)
+	limit := float64(v.Config.Services[service].MaxConnections)
+	return connections{most: max(int(limit*connectionShare/float64(hosts)), 1), warm: here}
+}
+
 // drain stops the host: it is no longer ready, serves on until the balancer
 // knows, closes the listener, and waits for the requests in progress.
 func (h *Host) drain(server *http.Server) error {
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -79,11 +79,11 @@
 	return b.peers.Own(groups)
 }
 
-// serves reports whether this host's group serves a shard.
-func (b *beliefs) serves(service string, groups int) bool {
+// group returns the size of this host's group, and whether it serves a shard.
+func (b *beliefs) group(service string, groups int) (size int, own bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.peers.Serves(service, groups)
+	return b.peers.GroupSize(groups), b.peers.Serves(service, groups)
 }
 
 // pickPeer chooses a host of a group and notes a request to it.
@@ -131,11 +131,18 @@
 	return t
 }
 
-func (b *beliefs) setView(v *routing.View, hosts int) {
+func (b *beliefs) setHosts(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts = n
+	b.resize()
+}
+
+func (b *beliefs) setView(v *routing.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.SetReplicas(v.Replicas)
-	b.view, b.hosts = v, hosts
+	b.view = v
 	b.share()
 }
 
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -110,7 +110,7 @@
 			Now: func() time.Duration { return time.Since(started) }, Sender: sender, Recorder: silent{}, Self: p, Peers: f,
 		}, rand.New(rand.NewPCG(uint64(i), 1)))
 		g.SetPeers(peers)
-		g.SetView(view, 1)
+		g.SetView(view)
 		f.hosts[p.Address] = g
 		hosts = append(hosts, g)
 	}
@@ -202,12 +202,12 @@
 			for _, h := range hosts[1:] {
 				c, replicas, read := wide(2)
 				c.Routes[0].Shards = c.Routes[0].Shards[1:]
-				h.SetView(routing.NewView(c, replicas, read), 1)
+				h.SetView(routing.NewView(c, replicas, read))
 			}
 		},
 		"others know nothing yet": func(f *fleet, hosts []*gateway.Gateway) {
 			for _, h := range hosts[1:] {
-				h.SetView(routing.NewView(nil, nil, 0), 1)
+				h.SetView(routing.NewView(nil, nil, 0))
 			}
 		},
 	} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,31 +158,35 @@
 	g.beliefs.setAllowance(t.Allowance)
 }
 
+// SetHosts replaces the number of hosts that share limits.
+func (g *Gateway) SetHosts(n int) { g.beliefs.setHosts(n) }
+
 // SetView replaces the view. Requests in progress keep the one that they began
-// with. hosts is the number of hosts that share the allowance.
-func (g *Gateway) SetView(v *routing.View, hosts int) {
-	g.beliefs.setView(v, hosts)
+// with.
+func (g *Gateway) SetView(v *routing.View) {
+	g.beliefs.setView(v)
 	g.view.Store(v)
 }
 
 // SetPeers replaces the other hosts.
 func (g *Gateway) SetPeers(peers []split.Peer) { g.beliefs.setPeers(peers) }
 
-// Serves reports whether this host keeps connections to the replicas of a service:
-// all hosts do, unless the service is a shard of a divided index and another
-// group's.
-func (g *Gateway) Serves(v *routing.View, service string) bool {
+// Connecting returns the number of hosts that keep connections to the replicas of a
+// service, and whether this one does: all hosts do, unless the service is a shard
+// of a divided index; then the hosts of its group do.
+func (g *Gateway) Connecting(v *routing.View, service string) (hosts int, here bool) {
+	hosts, here = g.beliefs.fleet(), true
 	for i := range v.Config.Routes {
 		route := &v.Config.Routes[i]
 		if !slices.Contains(route.Shards, service) {
 			continue
 		}
-		groups := g.groups(route)
-		if groups > 1 && !g.beliefs.serves(service, groups) {
-			return false
+		if groups := g.groups(route); groups > 1 {
+			size, own := g.beliefs.group(service, groups)
+			hosts, here = min(hosts, size), here && own
 		}
 	}
-	return true
+	return hosts, here
 }
 
 // View returns the view in force, or nil.
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -131,6 +131,17 @@
 // Own returns the group of this host.
 func (t *Table) Own(groups int) int { return groupOf(t.self.Address, groups) }
 
+// GroupSize returns the number of known hosts of this host's group, with this one.
+func (t *Table) GroupSize(groups int) int {
+	own, n := t.Own(groups), 1
+	for _, p := range t.peers {
+		if groupOf(p.Address, groups) == own {
+			n++
+		}
+	}
+	return n
+}
+
 // Digest identifies the shards of an index, in their order.
 func Digest(services []string) uint64 {
 	d := xxhash.New()
