Refuse at once queries that a host cannot serve

Change: a replica that failed three times in a row counts as unreachable while it is held; if too few shards have another one, the query is refused with 503 and nothing is sent. Holds end within 2 s, so that the cut's end is seen.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -46,6 +46,9 @@
 	// failed is avoided; it doubles with each failure in a row.
 	minFaultHold = 100 * time.Millisecond
 	maxFaultHold = 2 * time.Second
+	// unreachableFaults is the number of failures in a row after which a replica
+	// counts as unreachable while it is avoided.
+	unreachableFaults = 3
 	// holdCost is what avoiding adds to a replica's cost, in typical times.
 	holdCost = 1000
 	// coldFactor is the slowness of a replica that has just started.
@@ -181,6 +184,13 @@
 	}
 }
 
+// Unreachable reports whether a replica failed several times in a row and is not
+// to be tried again yet, or is gone.
+func (t *Table) Unreachable(now time.Duration, key string) bool {
+	r := t.replicas[key]
+	return r == nil || r.gone || r.faults >= unreachableFaults && now < r.heldUntil
+}
+
 func (r *replica) fault(now time.Duration) {
 	hold := min(minFaultHold<<min(r.faults, 6), maxFaultHold)
 	r.faults++
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -114,6 +114,24 @@
 	return admitted, t.Overloaded(now)
 }
 
+// impossible reports whether too few shards of a plan have a replica that can be
+// reached for the least share of the route.
+func (b *beliefs) impossible(now time.Duration, route *routing.Route, plan *routing.Plan) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	shards := plan.Index.Snapshots[0].Shards
+	spare := len(shards) - max(route.LeastShards, 1)
+	for i := range shards {
+		if slices.ContainsFunc(shards[i].Replicas, func(key string) bool { return !b.table.Unreachable(now, key) }) {
+			continue
+		}
+		if spare--; spare < 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // answered notes whether an admitted query of an index was of use.
 func (b *beliefs) answered(now time.Duration, route *routing.Route, useful bool) {
 	b.mu.Lock()
--- a/internal/gateway/deployments_test.go
+++ b/internal/gateway/deployments_test.go
@@ -68,6 +68,8 @@
 	// refuse, fail, lose and mute are shares of requests.
 	refuse, fail, lose, mute float64
 	delay                    time.Duration
+	// cut tells that it cannot be reached.
+	cut bool
 }
 
 // world plays the replicas of a deployment and keeps what reached them.
@@ -79,10 +81,16 @@
 	rng      *rand.Rand
 	troubles map[string]trouble
 	arrivals []arrival
-	asked    map[string][]time.Duration
 	cancels  map[dispatch.Key]chan struct{}
 }
 
+func newWorld(seed uint64) *world {
+	return &world{
+		started: time.Now(), service: map[string]string{}, rng: rand.New(rand.NewPCG(seed, 1)), troubles: map[string]trouble{},
+		cancels: map[dispatch.Key]chan struct{}{},
+	}
+}
+
 func (w *world) now() time.Duration { return time.Since(w.started) }
 
 // Send implements gateway.Sender.
@@ -91,7 +99,7 @@
 	defer w.mu.Unlock()
 	t := w.troubles[req.Endpoint]
 	draw := w.rng.Float64()
-	refused := draw < t.refuse
+	refused := draw < t.refuse || t.cut
 	w.arrivals = append(w.arrivals, arrival{w.now(), w.service[req.Endpoint], req.Endpoint, req.Message.ID, !refused})
 	cancelled := make(chan struct{})
 	w.cancels[req.Key] = cancelled
@@ -101,6 +109,9 @@
 
 // play returns the reply of a replica that takes a time.
 func (w *world) play(req *dispatch.Request, t trouble, draw float64, took time.Duration, cancelled <-chan struct{}) dispatch.Reply {
+	if t.cut {
+		return req.Refuse(result.ConnectFailed)
+	}
 	if draw < t.refuse {
 		return req.Refuse(result.EndpointShed)
 	}
@@ -141,8 +152,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	kinds := []trouble{
-		{refuse: 0.5}, {fail: 0.4}, {lose: 0.4}, {mute: 0.3}, {delay: 150 * time.Millisecond},
-		{refuse: 1}, {mute: 1}, {refuse: 0.2, fail: 0.2, lose: 0.2, mute: 0.2, delay: 40 * time.Millisecond},
+		{refuse: 0.5},
+		{fail: 0.4},
+		{lose: 0.4},
+		{mute: 0.3},
+		{delay: 150 * time.Millisecond},
+		{refuse: 1},
+		{mute: 1},
+		{refuse: 0.2, fail: 0.2, lose: 0.2, mute: 0.2, delay: 40 * time.Millisecond},
 	}
 	share := []float64{0, 0.15, 0.5, 1}[w.rng.IntN(4)]
 	kind := kinds[w.rng.IntN(len(kinds))]
@@ -208,10 +225,7 @@
 }
 
 func (d deployment) play(t *testing.T, seed uint64) {
-	w := &world{
-		started: time.Now(), service: map[string]string{}, rng: rand.New(rand.NewPCG(seed, 1)), troubles: map[string]trouble{},
-		asked: map[string][]time.Duration{}, cancels: map[dispatch.Key]chan struct{}{},
-	}
+	w := newWorld(seed)
 	view := d.view(w)
 	var mu sync.Mutex
 	var all []answered
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,6 +230,9 @@
 		if groups := g.groups(route); groups > 1 {
 			return g.serveDivided(ctx, r, v, route, plan, groups)
 		}
+		if g.beliefs.impossible(g.cfg.Now(), route, plan) {
+			return g.refuse(r, route, result.NoReplica)
+		}
 	}
 	run := g.newRun(r, v, route, plan, patient)
 	return run.serve(ctx)
