Draw the troubles of other deployments in a fixed order, and cut replicas off too

The order of a map decided which replicas were disturbed, so that a run could not be repeated. A replica that is cut off gets no request: attempts that open no connection are not arrivals.

--- a/internal/gateway/cutoff_test.go
+++ b/internal/gateway/cutoff_test.go
@@ -32,6 +32,8 @@
 		})
 	}
 	cut := func(t trouble) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		for key := range w.service {
 			if strings.HasPrefix(key, "s0") {
 				w.troubles[key] = t
@@ -45,6 +47,7 @@
 		ask(n)
 		time.Sleep(50 * time.Millisecond)
 	}
+	synctest.Wait()
 	arrived, began := len(w.arrivals), w.now()
 	refused := ask(20)
 	g.Expect(refused.Code).To(Equal(result.NoReplica))
--- a/internal/gateway/deployments_test.go
+++ b/internal/gateway/deployments_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -99,8 +101,9 @@
 	defer w.mu.Unlock()
 	t := w.troubles[req.Endpoint]
 	draw := w.rng.Float64()
-	refused := draw < t.refuse || t.cut
-	w.arrivals = append(w.arrivals, arrival{w.now(), w.service[req.Endpoint], req.Endpoint, req.Message.ID, !refused})
+	if !t.cut {
+		w.arrivals = append(w.arrivals, arrival{w.now(), w.service[req.Endpoint], req.Endpoint, req.Message.ID, draw >= t.refuse})
+	}
 	cancelled := make(chan struct{})
 	w.cancels[req.Key] = cancelled
 	took := t.delay + time.Duration(w.rng.Int64N(int64(8*time.Millisecond)))
@@ -159,11 +162,12 @@
 		{delay: 150 * time.Millisecond},
 		{refuse: 1},
 		{mute: 1},
+		{cut: true},
 		{refuse: 0.2, fail: 0.2, lose: 0.2, mute: 0.2, delay: 40 * time.Millisecond},
 	}
 	share := []float64{0, 0.15, 0.5, 1}[w.rng.IntN(4)]
 	kind := kinds[w.rng.IntN(len(kinds))]
-	for key := range w.service {
+	for _, key := range slices.Sorted(maps.Keys(w.service)) {
 		w.troubles[key] = trouble{}
 		if w.rng.Float64() < share {
 			w.troubles[key] = kind
