--- a/internal/entryhost/recorder_test.go
+++ b/internal/entryhost/recorder_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -13,30 +12,13 @@
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
-// logBuffer is a log that goroutines share.
-type logBuffer struct {
-	mu  sync.Mutex
-	out bytes.Buffer
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.out.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.out.String()
-}
-
 // Requests for routes that do not exist take none of the lines of others.
 func TestBadInputLeavesOthersTheirLines(t *testing.T) {
 	g := NewWithT(t)
-	log := &logBuffer{}
+	log := &testsuite.Log{}
 	counters := telemetry.NewCounters()
 	r := newRecorder(telemetry.NewLogger(log, "info"), counters, func() time.Duration { return 0 })
 	unknown := uint64(0)
@@ -55,7 +37,7 @@
 // Parts of divided queries are told apart from answers.
 func TestPartsAndStages(t *testing.T) {
 	g := NewWithT(t)
-	log := &logBuffer{}
+	log := &testsuite.Log{}
 	counters := telemetry.NewCounters()
 	r := newRecorder(telemetry.NewLogger(log, "info"), counters, func() time.Duration { return 0 })
 	r.Answered(gateway.Ended{RequestID: "a", Code: result.Partial, Part: true})
