--- a/internal/arch/logs_test.go
+++ b/internal/arch/logs_test.go
@@ -8,8 +8,12 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
+const root = "../.."
+
 var (
 	// loggedMessage finds the constant messages of log lines.
 	loggedMessage = regexp.MustCompile(`\.Msg\("([^"]+)"\)`)
@@ -27,7 +31,7 @@
 	g := NewWithT(t)
 	logged := map[string]bool{"log lines dropped": true}
 	for _, dir := range []string{"entryhost", "keeper", "discovery", "gateway", "forward"} {
-		for _, file := range goFiles(t, filepath.Join("..", dir)) {
+		for _, file := range testsuite.GoFiles(t, filepath.Join("..", dir)) {
 			if strings.HasSuffix(file, "_test.go") {
 				continue
 			}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -186,7 +186,7 @@
 	DocumentHash Code = 615
 	// DocumentTooLarge: a configuration document is over the value limit.
 	DocumentTooLarge Code = 616
-	// PlatformUnavailable: the platform's configuration service does not answer.
+	// PlatformUnavailable: the platform's store does not answer.
 	PlatformUnavailable Code = 617
 	// DocumentUnavailable: no source has the documents of a manifest.
 	DocumentUnavailable Code = 618
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -93,7 +93,7 @@
 	{Code: DocumentInvalid, Name: "document-invalid", Meaning: "A configuration document is malformed.", Action: "Publish it again with a higher revision."},
 	{Code: DocumentHash, Name: "document-hash", Meaning: "A configuration document does not match its hash.", Action: "Publish it again with a higher revision."},
 	{Code: DocumentTooLarge, Name: "document-too-large", Meaning: "A configuration document is over the value limit.", Action: "Split it."},
-	{Code: PlatformUnavailable, Name: "platform-unavailable", Meaning: "The platform's configuration service does not answer.", Action: "None; hosts keep what is in force."},
+	{Code: PlatformUnavailable, Name: "platform-unavailable", Meaning: "The platform's store does not answer.", Action: "None; hosts keep what is in force."},
 	{Code: DocumentUnavailable, Name: "document-unavailable", Meaning: "No source has the documents of a manifest.", Action: "Publish every document before the manifest that lists it."},
 	{Code: FrameInvalid, Name: "frame-invalid", Meaning: "A peer frame is torn or cannot be decoded.", Action: "Check that only hosts use the peer port."},
 	{Code: FrameTooLarge, Name: "frame-too-large", Meaning: "A peer frame is over the size limit.", Action: "Check that only hosts use the peer port."},
