--- a/cmd/gypsumlug-gateway/main.go
+++ b/cmd/gypsumlug-gateway/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -22,6 +23,9 @@
 	exitUsage = 2
 )
 
+// logFlush bounds the time in which the last log lines are written.
+const logFlush = 100 * time.Millisecond
+
 // gcPercent trades processor time, which is cheap here, for memory.
 const gcPercent = 40
 
@@ -46,7 +50,10 @@
 	if err != nil {
 		return err
 	}
-	host, err := entryhost.New(s, telemetry.NewLogger(os.Stdout, c.LogLevel))
+	counters := telemetry.NewCounters()
+	writer := telemetry.NewWriter(os.Stdout, counters.Counter(telemetry.LinesDropped))
+	defer writer.Close(logFlush)
+	host, err := entryhost.New(s, telemetry.NewLogger(writer, c.LogLevel), counters)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/gypsumlug/explain.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/gypsumlug/gypsumlug/internal/explain"
+	"github.com/gypsumlug/gypsumlug/internal/result"
+)
+
+type explainCmd struct {
+	Request string   `arg:"" help:"ID of the request, as its caller sent it."`
+	Logs    []string `arg:"" optional:"" help:"Log files of the hosts; standard input without any."`
+}
+
+// Run prints the story of a request. It fails if the logs say nothing of it.
+func (c *explainCmd) Run(env *environment) error {
+	logs, closeAll, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	story, err := explain.Read(c.Request, logs...)
+	if err != nil {
+		return result.Errorf(result.Unreachable, "%v", err)
+	}
+	if len(story.Lines) == 0 {
+		return result.Errorf(result.NotFound, "no log line tells of request %s", c.Request)
+	}
+	return env.print(story, func(t table.Writer) { writeStory(t, story) })
+}
+
+func (c *explainCmd) open() (logs []io.Reader, closeAll func(), err error) {
+	if len(c.Logs) == 0 {
+		return []io.Reader{os.Stdin}, func() {}, nil
+	}
+	var files []*os.File
+	closeAll = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	for _, name := range c.Logs {
+		f, err := os.Open(name)
+		if err != nil {
+			closeAll()
+			return nil, nil, result.Errorf(result.Unreachable, "%v", err)
+		}
+		files = append(files, f)
+		logs = append(logs, f)
+	}
+	return logs, closeAll, nil
+}
+
+func writeStory(t table.Writer, s *explain.Story) {
+	for _, l := range s.Lines {
+		var fields []string
+		for _, f := range l.Fields {
+			if f.Name != "level" {
+				fields = append(fields, f.Name+"="+f.Value)
+			}
+		}
+		t.AppendRow(table.Row{l.Time.Format("15:04:05.000"), l.Host, l.Message, strings.Join(fields, " ")})
+	}
+	if s.Clocks {
+		t.AppendRow(table.Row{"", "", "note", "several hosts: in the order of their clocks, which may disagree"})
+	}
+	reasons := make([]string, 0, len(s.LeftOut))
+	for reason, n := range s.LeftOut {
+		reasons = append(reasons, strconv.Itoa(n)+" "+string(reason))
+	}
+	slices.Sort(reasons)
+	if len(reasons) > 0 {
+		t.AppendRow(table.Row{"", "", "left out", strings.Join(reasons, ", ")})
+	}
+}
--- a/cmd/gypsumlug/main.go
+++ b/cmd/gypsumlug/main.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 
 	"github.com/alecthomas/kong"
 
@@ -19,6 +20,7 @@
 
 	Demo          demoCmd          `cmd:"" help:"Show the main job in one process: queries, a reservation, a lost shard, a straggler."`
 	Query         queryCmd         `cmd:"" help:"Query a service."`
+	Explain       explainCmd       `cmd:"" help:"Print the story of one request from the logs of hosts."`
 	Submit        submitCmd        `cmd:"" help:"Run a request at most once, under a permit."`
 	Questionnaire questionnaireCmd `cmd:"" help:"Check, generate, explain and compare questionnaires."`
 	Config        configCmd        `cmd:"" help:"Show the configuration in force."`
@@ -64,6 +66,21 @@
 	if err != nil {
 		return env.fail(result.Errorf(result.Usage, "%v", err))
 	}
+	if err := refuseEmptyFlags(command); err != nil {
+		return env.fail(err)
+	}
 	env.output = c.Output
 	return env.fail(command.Run(env))
 }
+
+// refuseEmptyFlags refuses a flag that was given an empty value, as by an unset
+// variable of a script: it would count as not given.
+func refuseEmptyFlags(command *kong.Context) error {
+	for _, step := range command.Path {
+		flag := step.Flag
+		if flag != nil && flag.Target.Kind() == reflect.String && flag.Target.String() == "" {
+			return result.Errorf(result.Usage, "--%s has an empty value", flag.Name)
+		}
+	}
+	return nil
+}
--- a/cmd/gypsumlug/main_test.go
+++ b/cmd/gypsumlug/main_test.go
@@ -54,6 +54,8 @@
 		Entry("unknown flag", result.Usage, "codes", "--all"),
 		Entry("missing flags", result.Usage, "query", "text"),
 		Entry("bad address", result.Usage, "query", "--host", "localhost", "--service", "s", "--caller", "c", "text"),
+		Entry("empty permit", result.Usage, "submit", "--host", "127.0.0.1:1", "--service", "s", "--caller", "c", "--permit", "", "body"),
+		Entry("empty host", result.Usage, "query", "--host=", "--service", "s", "--caller", "c", "text"),
 		Entry("no such code", result.Usage, "codes", "999"),
 		Entry("no daemon", result.HostUnreachable, "query", "--host", "127.0.0.1:1", "--service", "s", "--caller", "c", "text"),
 		Entry("no daemon to submit to", result.HostUnreachable, "submit", "--host", "127.0.0.1:1", "--service", "s", "--caller", "c", "body"),
--- a/internal/fleetbench/fleet.go
+++ b/internal/controlfleet/fleet.go
@@ -1,7 +1,7 @@
-// Package fleetbench steps the control machines of a fleet in one process and in
+// Package controlfleet steps the control machines of a fleet in one process and in
 // virtual time, from one seeded event queue. Tests use it to bring about faults,
 // and benchmarks to measure what control costs. It is imported by tests only.
-package fleetbench
+package controlfleet
 
 import (
 	"container/heap"
--- a/internal/fleetbench/network.go
+++ b/internal/controlfleet/network.go
@@ -1,4 +1,4 @@
-package fleetbench
+package controlfleet
 
 import (
 	"bytes"
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -27,6 +27,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/keeper"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
+	"github.com/gypsumlug/gypsumlug/internal/version"
 	"github.com/gypsumlug/gypsumlug/platform"
 )
 
@@ -65,21 +66,22 @@
 }
 
 // New returns a host that does not run yet.
-func New(s *Settings, log zerolog.Logger) (*Host, error) {
+func New(s *Settings, log zerolog.Logger, counters *telemetry.Counters) (*Host, error) {
 	var seed [32]byte
 	if _, err := rand.Read(seed[:]); err != nil {
 		return nil, eris.Wrap(err, "random seed")
 	}
 	incarnation := binary.LittleEndian.Uint64(seed[:])
+	log = log.With().Str("host", s.Host).Logger()
 	h := &Host{
 		settings:    s,
 		log:         log,
-		counters:    telemetry.NewCounters(),
+		counters:    counters,
 		started:     time.Now(),
 		incarnation: incarnation,
 		rng:         newRand(seed[8:]),
 	}
-	recorder := &recorder{log: log, counters: h.counters}
+	recorder := newRecorder(log, h.counters, h.now)
 	h.client = forward.New(platform.Dialect{}, dial.TCP, recorder)
 	h.gateway = gateway.New(gateway.Config{
 		DataCentre:    s.DataCentre,
@@ -125,14 +127,15 @@
 			h.log.Error().Err(err).Msg("peers not served")
 		}
 	}()
-	h.log.Info().Str("host", h.settings.Host).Str("data_centre", h.settings.DataCentre).Msg("started")
+	h.log.Info().Str("data_centre", h.settings.DataCentre).Str("version", version.String()).Msg("started")
 	<-stop
 	k.Leave(ctx)
 	return h.drain(server)
 }
 
 func (h *Host) newKeeper() *keeper.Keeper {
-	now := boottime.Now
+	began := boottime.Now() - h.now()
+	now := func() time.Duration { return boottime.Now() - began }
 	machine := discovery.NewMachine(h.settings.PeerAddress, h.incarnation, h.settings.Seeds, now(), h.rng)
 	return keeper.New(keeper.Options{
 		Self:    h.settings.PeerAddress,
--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -1,6 +1,11 @@
 package entryhost
 
 import (
+	"hash/fnv"
+	"strconv"
+	"sync"
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"github.com/gypsumlug/gypsumlug/internal/gateway"
@@ -9,25 +14,99 @@
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 )
 
-// recorder counts what happens to requests and logs those that did not end well.
+// Names of the events of a request in the log.
+const (
+	eventAnswered = "answered"
+	eventStep     = "step"
+)
+
+const (
+	// storiesPerSecond bounds the requests whose story is written, and storyBurst
+	// those at once. Answers without a story are counted.
+	storiesPerSecond = 20
+	storyBurst       = 40
+	// sampleEvery is the share of ordinary requests whose story is written, as a
+	// divisor. It goes by the request's ID, so that every host picks the same.
+	sampleEvery = 256
+)
+
+// recorder counts what happens to requests and writes the stories of those that
+// were refused, failed, partial or late, and of a sample of the others.
 type recorder struct {
 	log      zerolog.Logger
 	counters *telemetry.Counters
+	now      func() time.Duration
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Duration
+}
+
+func newRecorder(log zerolog.Logger, counters *telemetry.Counters, now func() time.Duration) *recorder {
+	return &recorder{log: log, counters: counters, now: now, tokens: storyBurst}
 }
 
 // Answered implements gateway.Recorder.
 func (r *recorder) Answered(e gateway.Ended) {
 	r.counters.Code(telemetry.FamilyAnswers, e.Code)
-	if e.Code.Class() == result.ClassComplete {
+	r.counters.Latency(e.Route, e.Code, e.Took)
+	late := e.Target > 0 && e.Took > e.Target
+	if e.Code.Class() == result.ClassComplete && !late && !sampled(e.RequestID) {
+		return
+	}
+	if !r.takeStory() {
+		r.counters.Inc(telemetry.StoriesSkipped)
 		return
 	}
-	line := r.log.Info().Str("request", e.RequestID).Str("route", e.Route).Int("code", int(e.Code)).Stringer("reason", e.Code).
-		Dur("took_ms", e.Took).Dur("left_ms", e.Left).Int("shards", e.Shards).Int("covered", e.Covered).Int("attempts", e.Attempts).
-		Uint64("version", e.Version).Dur("view_age_ms", e.ViewAge)
+	for i := range e.Steps {
+		r.step(&e, &e.Steps[i])
+	}
+	r.answer(&e)
+}
+
+func (r *recorder) answer(e *gateway.Ended) {
+	line := r.log.Info().Str("request", e.RequestID).Str("route", e.Route).Uint64("version", e.Version).
+		Int("code", int(e.Code)).Stringer("reason", e.Code).Dur("took_ms", e.Took).Dur("target_ms", e.Target).Dur("left_ms", e.Left).
+		Int("shards", e.Shards).Int("covered", e.Covered).Int("attempts", e.Attempts).Int("hosts", e.Hosts).Dur("view_age_ms", e.ViewAge)
 	for _, m := range e.Missing {
-		line.Str("missing_"+m.Range.String(), m.Code.String())
+		line.Stringer("missing_"+strconv.Itoa(int(m.Range.Start)), m.Code)
+	}
+	line.Msg(eventAnswered)
+}
+
+func (r *recorder) step(e *gateway.Ended, s *gateway.Step) {
+	line := r.log.Info().Str("request", e.RequestID).Stringer("kind", s.Kind).Dur("at_ms", s.At).Int("shard", s.Shard)
+	if s.Replica != "" {
+		line.Str("replica", s.Replica).Uint32("attempt", s.Attempt)
+	}
+	if s.Kind == gateway.StepReply {
+		line.Dur("took_ms", s.Took)
+	}
+	if s.Code != 0 {
+		line.Int("code", int(s.Code)).Stringer("reason", s.Code)
+	}
+	line.Bool("hedge", s.Hedge).Bool("retry", s.Retry).Msg(eventStep)
+}
+
+// sampled reports whether the story of an ordinary request is written.
+func sampled(id string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()%sampleEvery == 0
+}
+
+// takeStory reports whether one more story keeps within the rate.
+func (r *recorder) takeStory() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.tokens = min(r.tokens+storiesPerSecond*(now-r.last).Seconds(), storyBurst)
+	r.last = now
+	if r.tokens < 1 {
+		return false
 	}
-	line.Msg("answered")
+	r.tokens--
+	return true
 }
 
 // Attempt implements gateway.Recorder.
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// fleet returns the number of hosts that share the allowance.
+func (b *beliefs) fleet() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hosts
+}
+
 func (b *beliefs) random() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,12 @@
 	// ViewAge is the age of the replicas that the request was served with.
 	ViewAge time.Duration
 	Missing []query.Missing
+	// Hosts is the number of hosts that share the budget of extra attempts.
+	Hosts int
+	// Target is the time in which an answer was on time.
+	Target time.Duration
+	// Steps are what explains the end of the request.
+	Steps []Step
 }
 
 // Request is a caller's request.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -22,6 +22,12 @@
 	repliesPerShard = 3
 )
 
+// timedReply is a reply and the time that its attempt took.
+type timedReply struct {
+	dispatch.Reply
+	took time.Duration
+}
+
 // run is a request in progress. It belongs to the goroutine that serves it.
 type run struct {
 	g       *Gateway
@@ -33,7 +39,8 @@
 	left    time.Duration
 	target  time.Duration
 	query   *query.Query
-	replies chan dispatch.Reply
+	replies chan timedReply
+	trace   trace
 	// over is closed when the request is answered, and no reply is read.
 	over chan struct{}
 }
@@ -56,7 +63,7 @@
 		started: now,
 		left:    left,
 		target:  target,
-		replies: make(chan dispatch.Reply, repliesPerShard*len(plan.Services)),
+		replies: make(chan timedReply, repliesPerShard*len(plan.Services)),
 		over:    make(chan struct{}),
 	}
 	shared := requestBeliefs{beliefs: g.beliefs, route: route, services: plan.Services}
@@ -125,7 +132,8 @@
 		timer.Reset(r.query.Next() - r.g.cfg.Now())
 		select {
 		case reply := <-r.replies:
-			answer = r.apply(r.query.Reply(r.g.cfg.Now(), reply))
+			r.trace.reply(r.g.cfg.Now()-r.started, &reply.Reply, reply.took)
+			answer = r.apply(r.query.Reply(r.g.cfg.Now(), reply.Reply))
 		case <-timer.C:
 			answer = r.apply(r.query.Tick(r.g.cfg.Now()))
 		case <-r.g.ending:
@@ -154,6 +162,7 @@
 	for _, c := range a.Cancel {
 		r.g.cfg.Sender.Cancel(c.Key)
 	}
+	r.trace.actions(r.g.cfg.Now()-r.started, &a)
 	for _, e := range a.Events {
 		r.g.cfg.Recorder.Event(e)
 	}
@@ -168,7 +177,7 @@
 		r.g.beliefs.ended(now, r.route, attempt, &reply, now-sent)
 		r.g.cfg.Recorder.Attempt(reply.Code)
 		select {
-		case r.replies <- reply:
+		case r.replies <- timedReply{Reply: reply, took: now - sent}:
 		case <-r.over:
 		}
 	})
@@ -238,5 +247,8 @@
 		Version:   r.view.Config.Version,
 		ViewAge:   now - r.view.Read,
 		Missing:   a.Missing,
+		Hosts:     r.g.beliefs.fleet(),
+		Target:    r.target,
+		Steps:     r.trace.steps,
 	})
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -22,6 +22,9 @@
 	Changes(ctx context.Context, after uint64, wait time.Duration) (discovery.Reading, error)
 }
 
+// eventBelief marks the log lines that tell what the host believes.
+const eventBelief = "belief"
+
 // Times after which calls are given up.
 const (
 	readTimeout  = 700 * time.Millisecond
@@ -116,7 +119,7 @@
 
 func (k *Keeper) logChanges(changes []discovery.Change) {
 	for _, c := range changes {
-		line := k.opts.Log.Info()
+		line := k.opts.Log.Info().Str("event", eventBelief)
 		if c.Source != "" {
 			line.Str("source", c.Source)
 		}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -5,18 +5,20 @@
 	"io"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rs/zerolog"
 )
 
+// timeFormat is the format of times in the log, in UTC with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // keyValueWriter formats events as time=… level=… message=… key=value, in the
 // order of the fields, without colours. Values with spaces are quoted.
 func keyValueWriter(w io.Writer) io.Writer {
 	return zerolog.ConsoleWriter{
 		Out:        w,
 		NoColor:    true,
-		TimeFormat: time.RFC3339,
+		TimeFormat: timeFormat,
 		FormatTimestamp: func(v any) string {
 			return fmt.Sprintf("time=%v", v)
 		},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
@@ -15,6 +16,7 @@
 // NewLogger returns a logger that writes one line of key=value pairs an event.
 // An unknown level means info.
 func NewLogger(w io.Writer, level string) zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		parsed = zerolog.InfoLevel
@@ -47,6 +49,13 @@
 
 	mu     sync.RWMutex
 	byCode map[codeKey]*metrics.Counter
+	// latencies are by route and class of code.
+	latencies map[latencyKey]*metrics.Histogram
+}
+
+type latencyKey struct {
+	route string
+	class result.Class
 }
 
 type codeKey struct {
@@ -56,7 +65,7 @@
 
 // NewCounters returns counters in a set of their own.
 func NewCounters() *Counters {
-	return &Counters{set: metrics.NewSet(), byCode: make(map[codeKey]*metrics.Counter)}
+	return &Counters{set: metrics.NewSet(), byCode: make(map[codeKey]*metrics.Counter), latencies: make(map[latencyKey]*metrics.Histogram)}
 }
 
 // Code counts one event of a family by its result code.
@@ -106,7 +115,29 @@
 	StrayReplies  = "gypsumlug_stray_replies_total"
 	Dials         = "gypsumlug_dials_total"
 	DialsFailed   = "gypsumlug_dials_failed_total"
+	// StoriesSkipped counts answers whose story was over the log's rate.
+	StoriesSkipped = "gypsumlug_log_stories_skipped_total"
 )
 
+// maxLatencyRoutes bounds the routes with a histogram of their own; further ones
+// share one without a name.
+const maxLatencyRoutes = 64
+
+// Latency records the time of an answer by route and class of its code.
+func (c *Counters) Latency(route string, code result.Code, took time.Duration) {
+	key := latencyKey{route: route, class: code.Class()}
+	c.mu.Lock()
+	h := c.latencies[key]
+	if h == nil {
+		if len(c.latencies) >= maxLatencyRoutes {
+			key.route = "other"
+		}
+		h = c.set.GetOrCreateHistogram(fmt.Sprintf(`gypsumlug_answer_seconds{route=%q,class=%q}`, key.route, key.class))
+		c.latencies[key] = h
+	}
+	c.mu.Unlock()
+	h.Update(took.Seconds())
+}
+
 // Inc counts one event of a counter.
 func (c *Counters) Inc(name string) { c.Counter(name).Inc() }
