Keep connections past an attempt's time, and send none just before the answer

Each attempt that ended at its deadline closed its connection, while the replica gave it up at the same moment and said so a millisecond later; the next attempt opened a new one, which holds one of two slots for 6 ms. And an attempt that ended 3 ms before the target was followed by another that was cancelled at the target. Ruled out: a stale entry (the replica is alive and listed), a cut link.

Change: an attempt is reported lost at its deadline, but its connection is kept if the replica's response comes within 150 ms. A query with its least share sends no attempt in the last 3 ms before its target.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -93,6 +94,9 @@
 func (c *conn) read(j *job, d Dialect) (dispatch.Reply, verdict) {
 	after := keep
 	for range maxStray {
+		if err := c.await(j); err != nil {
+			return c.lost(j), discard
+		}
 		head, body, err := c.response()
 		if err != nil {
 			return c.lost(j), discard
@@ -113,6 +117,21 @@
 	return c.lost(j), discard
 }
 
+// await waits for the first byte of a response. An attempt whose time is up is
+// reported lost there and then. Its replica, which gives up at the same moment,
+// may still say so: the connection is kept if it does, since opening another one
+// would cost the replica more than the attempt.
+func (c *conn) await(j *job) error {
+	_, err := c.reader.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || j.wasCancelled() {
+		return err
+	}
+	j.report(c.lost(j))
+	_ = c.SetDeadline(time.Now().Add(replyGrace))
+	_, err = c.reader.Peek(1)
+	return err
+}
+
 // response reads one whole response.
 func (c *conn) response() (*http.Response, []byte, error) {
 	for {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,9 +31,9 @@
 // Timing of connections.
 const (
 	dialTimeout = 600 * time.Millisecond
-	// cancelGrace is how long a cancelled attempt may still take to reply, so
-	// that its connection can be kept.
-	cancelGrace = 150 * time.Millisecond
+	// replyGrace is how long an attempt that was cancelled, or whose time is up, may
+	// still take to reply, so that its connection can be kept.
+	replyGrace = 150 * time.Millisecond
 	// maxStray bounds the responses to other requests that are skipped.
 	maxStray = 3
 	// readBuffer is the size of a connection's read buffer, in bytes.
@@ -143,9 +143,9 @@
 }
 
 // Send carries an attempt to its replica and calls done exactly once, from
-// another goroutine.
+// another goroutine: with the reply, or when the attempt's time is up.
 func (c *Client) Send(req dispatch.Request, done func(dispatch.Reply)) {
-	j := newJob(req)
+	j := newJob(req, done)
 	c.mu.Lock()
 	p := c.pools[req.Endpoint]
 	if p != nil {
@@ -161,7 +161,7 @@
 		c.mu.Lock()
 		delete(c.jobs, req.Key)
 		c.mu.Unlock()
-		done(reply)
+		j.report(reply)
 	})
 }
 
--- a/internal/forward/job.go
+++ b/internal/forward/job.go
@@ -14,6 +14,10 @@
 type job struct {
 	req      dispatch.Request
 	deadline time.Time
+	// done takes the reply; it is called once, by report.
+	done func(dispatch.Reply)
+	// reported tells that done was called.
+	reported bool
 	// ended is closed when the attempt is cancelled.
 	ended chan struct{}
 
@@ -22,8 +26,17 @@
 	conn      *conn
 }
 
-func newJob(req dispatch.Request) *job {
-	return &job{req: req, deadline: time.Now().Add(req.Budget), ended: make(chan struct{})}
+func newJob(req dispatch.Request, done func(dispatch.Reply)) *job {
+	return &job{req: req, deadline: time.Now().Add(req.Budget), done: done, ended: make(chan struct{})}
+}
+
+// report hands over the reply to the attempt, unless one was before.
+func (j *job) report(reply dispatch.Reply) {
+	if j.reported {
+		return
+	}
+	j.reported = true
+	j.done(reply)
 }
 
 // begin binds the job to a connection and reports false if it was cancelled.
@@ -53,7 +66,7 @@
 	j.cancelled = true
 	close(j.ended)
 	if j.conn != nil {
-		_ = j.conn.SetDeadline(time.Now().Add(cancelGrace))
+		_ = j.conn.SetDeadline(time.Now().Add(replyGrace))
 	}
 }
 
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -236,6 +236,10 @@
 		s.retryAt = now + retryBackoffMin
 		return
 	}
+	if q.ending(now) {
+		s.retryAt = q.target()
+		return
+	}
 	if s.exhausted() {
 		q.snapshotLost(now, i)
 		return
@@ -272,6 +276,12 @@
 	return q.p.Deadline - now
 }
 
+// ending reports whether the query is about to be answered with what it has: the
+// reply to a further attempt would come too late to be of use.
+func (q *Query) ending(now time.Duration) bool {
+	return q.p.Forward != nil && q.p.Forward.Paced && now >= q.target()-replyTime
+}
+
 // message returns the message that is forwarded, or nil for a search.
 func (q *Query) message() *dispatch.Message {
 	if q.p.Forward == nil {
@@ -324,6 +334,9 @@
 		return
 	}
 	s.hedgeAt = 0
+	if q.ending(now) {
+		return
+	}
 	endpoint, ok := q.pickHedge(now, s)
 	if !ok {
 		return
--- a/internal/query/forward_test.go
+++ b/internal/query/forward_test.go
@@ -121,6 +121,35 @@
 	g.Expect(a.Responses).To(HaveLen(3))
 }
 
+// An attempt that ends just before the target is not followed by one that the
+// answer would not wait for. A replica that is the last one of its shard would run
+// it for nothing.
+func TestNoAttemptJustBeforeTheAnswer(t *testing.T) {
+	g := NewWithT(t)
+	q := forwarded(4, query.Forward{Message: &dispatch.Message{}, Target: 100 * time.Millisecond, LeastCovered: 3, Paced: true}, always{})
+	sent := q.Start(0).Dispatch
+	for _, d := range sent[:3] {
+		q.Reply(5*time.Millisecond, goodReply(d, ""))
+	}
+	late := q.Reply(98*time.Millisecond, sent[3].Lose(result.OutcomeUnknown))
+	g.Expect(late.Dispatch).To(BeEmpty())
+	g.Expect(q.Next()).To(Equal(100 * time.Millisecond))
+	a := q.Tick(q.Next())
+	g.Expect(a.Dispatch).To(BeEmpty())
+	g.Expect(a.Answer.Covered).To(Equal(3))
+}
+
+// A query that lacks the least share at its target goes on.
+func TestAttemptsGoOnWithoutTheLeastShare(t *testing.T) {
+	g := NewWithT(t)
+	q := forwarded(4, query.Forward{Message: &dispatch.Message{}, Target: 100 * time.Millisecond, LeastCovered: 4, Paced: true}, always{})
+	sent := q.Start(0).Dispatch
+	for _, d := range sent[:3] {
+		q.Reply(5*time.Millisecond, goodReply(d, ""))
+	}
+	g.Expect(q.Reply(98*time.Millisecond, sent[3].Lose(result.OutcomeUnknown)).Dispatch).To(HaveLen(1))
+}
+
 // A query ends as soon as the least share is out of reach.
 func TestHopelessQueryEndsAtOnce(t *testing.T) {
 	g := NewWithT(t)
