Keep requests that crash replicas from the others, on the users' platform

The gateway sent each of its arrivals to up to two replicas of every shard. The product's own daemon has had the quarantine; it was not carried to the gateway.

Change: forward puts a new connection in the place of one that a replica ended with an attempt on it, and tells a crash (406) if the replica accepts none. The query machine then runs the request alone, as it does for gypsumlugd; the gateway records suspects in quarantine.Set, refuses proven ones (320, 503 with Retry-After), does not divide suspects, and tells others in heartbeats. Ruled out: counting lost connections alone, since a replica may lose answers without going away; waiting for the store's entry to go, which takes three heartbeats.

Tests: each of eight deployments with the request at every host, innocents in one or many crashes, another caller, a replica that loses one connection, two hosts and five replicas over sockets. Seen to fail with the record of crashes left out.

--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/catalog"
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 )
 
@@ -33,6 +34,8 @@
 	Age      time.Duration `msgpack:"g"`
 	// Members are some hosts that the sender knows.
 	Members []Member `msgpack:"m"`
+	// Suspects are requests that may crash replicas.
+	Suspects []peerwire.SuspectHint `msgpack:"q,omitempty"`
 }
 
 // Member is a host as another one knows it.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,7 +65,9 @@
 // immutable.
 type Message struct {
 	// ID is the caller's ID of the request, which endpoints echo.
-	ID     string
+	ID string
+	// Caller is the address of the caller, without its port.
+	Caller string
 	Method string
 	// Host and Target are the authority and the request target as they came.
 	Host   string
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -201,6 +201,8 @@
 		PublishPeers: h.publishPeers,
 		Peers:        h.peers,
 		Part:         h.gateway.ServePart,
+		Suspects:     h.gateway.Suspects,
+		TakeSuspects: h.gateway.TakeSuspects,
 		Log:          h.log,
 	}, machine)
 }
--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,15 +19,20 @@
 	eventAnswered = "answered"
 	eventPart     = "part answered"
 	eventStep     = "step"
+	eventSuspect  = "request may crash replicas"
 )
 
+// belief marks the lines that tell what the host believes.
+const belief = "belief"
+
 const (
 	// linesPerSecond bounds the lines of stories, and lineBurst those at once.
 	// Answers without a story are counted.
 	linesPerSecond = 25
 	lineBurst      = 60
 	// inputsPerSecond and inputBurst bound the lines about requests that are refused
-	// for what their callers sent, so that those leave the others theirs.
+	// for what their callers sent, and those about suspects, so that they leave the
+	// others theirs.
 	inputsPerSecond = 2
 	inputBurst      = 10
 	// stepsPerStory bounds the steps of one story; the last ones are written.
@@ -51,12 +57,17 @@
 
 	// lines and inputs belong to that goroutine.
 	lines, inputs lineBudget
+
+	// mu guards the budget of the lines about suspects.
+	mu       sync.Mutex
+	suspects lineBudget
 }
 
 func newRecorder(log zerolog.Logger, counters *telemetry.Counters, now func() time.Duration) *recorder {
 	r := &recorder{log: log, counters: counters, now: now, stories: make(chan gateway.Ended, storyQueue)}
 	r.lines = lineBudget{perSecond: linesPerSecond, burst: lineBurst, tokens: lineBurst}
 	r.inputs = lineBudget{perSecond: inputsPerSecond, burst: inputBurst, tokens: inputBurst}
+	r.suspects = lineBudget{perSecond: inputsPerSecond, burst: inputBurst, tokens: inputBurst}
 	go r.write()
 	return r
 }
@@ -200,6 +211,23 @@
 	}
 }
 
+// Suspect implements gateway.Recorder.
+func (r *recorder) Suspect(s gateway.Suspect) {
+	r.counters.Inc(telemetry.Suspects)
+	r.mu.Lock()
+	told := r.suspects.take(r.now(), 1)
+	r.mu.Unlock()
+	if !told {
+		r.counters.Inc(telemetry.StoriesSkipped)
+		return
+	}
+	line := r.log.Info().Str("event", belief).Uint64("fingerprint", uint64(s.Fingerprint)).Stringer("degree", s.Degree)
+	if s.RequestID != "" {
+		line.Str("request", s.RequestID).Str("replica", s.Replica)
+	}
+	line.Msg(eventSuspect)
+}
+
 // Opened implements forward.Observer.
 func (r *recorder) Opened(_ string, err error) {
 	if err != nil {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -26,6 +26,8 @@
 	// unwritten means that no byte was written: the attempt may be carried by
 	// another connection.
 	unwritten
+	// broken means that the replica ended the connection while it had the attempt.
+	broken
 )
 
 // errTooLarge ends the reading of a response that is over the bound.
@@ -95,11 +97,11 @@
 	after := keep
 	for range maxStray {
 		if err := c.await(j); err != nil {
-			return c.lost(j), discard
+			return c.lost(j), ending(j, err)
 		}
 		head, body, err := c.response()
 		if err != nil {
-			return c.lost(j), discard
+			return c.lost(j), ending(j, err)
 		}
 		c.learnIdle(head)
 		if head.Close {
@@ -117,6 +119,15 @@
 	return c.lost(j), discard
 }
 
+// ending returns the verdict on a connection whose read failed.
+func ending(j *job, err error) verdict {
+	closed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	if closed && !j.wasCancelled() {
+		return broken
+	}
+	return discard
+}
+
 // await waits for the first byte of a response. An attempt whose time is up is
 // reported lost there and then. Its replica, which gives up at the same moment,
 // may still say so: the connection is kept if it does, since opening another one
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -34,6 +34,9 @@
 	// replyGrace is how long an attempt that was cancelled, or whose time is up, may
 	// still take to reply, so that its connection can be kept.
 	replyGrace = 150 * time.Millisecond
+	// lossCheck bounds the opening of a connection that tells whether a replica
+	// that ended one is still there.
+	lossCheck = 100 * time.Millisecond
 	// maxStray bounds the responses to other requests that are skipped.
 	maxStray = 3
 	// readBuffer is the size of a connection's read buffer, in bytes.
--- a/internal/forward/late_test.go
+++ b/internal/forward/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/forward"
+	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
 // lateConnections sends two attempts, one after the other, over one connection at
@@ -53,3 +55,50 @@
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	NewWithT(t).Expect(lateConnections(t, 40*time.Millisecond, 4*time.Second)).To(BeEquivalentTo(2))
 }
+
+// A replica that ends a connection with an attempt, and accepts no other, went away
+// while it ran the attempt. One that accepts another has lost the connection alone.
+func TestCrashIsTold(t *testing.T) {
+	for name, tc := range map[string]struct {
+		accepts bool
+		code    result.Code
+	}{
+		"accepts no other connection": {false, result.EndpointCrashed},
+		"accepts another connection":  {true, result.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				var opened opened
+				first := true
+				open := func(context.Context, string) (net.Conn, error) {
+					if !first && !tc.accepts {
+						return nil, io.ErrClosedPipe
+					}
+					here, there := net.Pipe()
+					ends := first
+					first = false
+					go serve(there, func(w net.Conn, id string, _ int) {
+						if ends {
+							_ = w.Close()
+							return
+						}
+						respond(w, id, "x")
+					})
+					return here, nil
+				}
+				c := forward.New(plain{}, open, &opened)
+				c.SetTargets([]forward.Target{{Key: "r", Address: "replica", MaxConnections: 1}})
+				reply := send(c, request("a", time.Second))
+				g.Expect(reply.Outcome).To(Equal(dispatch.Unknown))
+				g.Expect(reply.Code).To(Equal(tc.code))
+				if tc.accepts {
+					g.Expect(send(c, request("b", time.Second)).Outcome).To(Equal(dispatch.OK))
+					g.Expect(opened.n.Load()).To(BeEquivalentTo(2), "the connection that was tried is used")
+				}
+				c.SetTargets(nil)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -76,6 +76,9 @@
 		}
 		reply, verdict := c.exchange(j, p.client.dialect)
 		j.end()
+		if verdict == broken {
+			return p.afterLoss(j, c, reply)
+		}
 		p.release(c, verdict == keep)
 		if verdict != unwritten {
 			return reply
@@ -83,6 +86,26 @@
 	}
 }
 
+// afterLoss puts a new connection in the place of one that the replica ended while
+// it had an attempt, and returns the reply to the attempt. A replica that accepts
+// none went away with the attempt.
+func (p *pool) afterLoss(j *job, c *conn, reply dispatch.Reply) dispatch.Reply {
+	p.mu.Lock()
+	removed := p.removed
+	p.mu.Unlock()
+	if removed {
+		p.release(c, false)
+		return reply
+	}
+	c.close()
+	next := p.dial(time.Now().Add(lossCheck))
+	if next == nil {
+		return j.req.Lose(result.EndpointCrashed)
+	}
+	p.release(next, true)
+	return reply
+}
+
 // acquire returns an idle connection, a new one, or the next that is released.
 func (p *pool) acquire(j *job, dials *int) (*conn, result.Code) {
 	p.mu.Lock()
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/balance"
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 )
@@ -41,7 +42,9 @@
 	hedges  map[string]*balance.Quantile
 	// throttles are by index, named by its first shard.
 	throttles map[string]*balance.Throttle
-	peers     *split.Table
+	// suspects are the requests that may crash replicas.
+	suspects *quarantine.Set
+	peers    *split.Table
 }
 
 func newBeliefs(dataCentre string, self split.Peer, rng *rand.Rand) *beliefs {
@@ -52,6 +55,7 @@
 		budgets:   make(map[string]*balance.Budget),
 		hedges:    make(map[string]*balance.Quantile),
 		throttles: make(map[string]*balance.Throttle),
+		suspects:  quarantine.New(quarantine.Config{MaxRequests: maxSuspects}),
 		peers:     split.NewTable(self),
 	}
 }
--- a/internal/gateway/deployments_test.go
+++ b/internal/gateway/deployments_test.go
@@ -251,6 +251,11 @@
 }
 
 func (d deployment) start(w *world, view *routing.View, seed uint64) []*gateway.Gateway {
+	return d.startWith(w, view, seed, w)
+}
+
+// startWith starts the hosts of a deployment, whose attempts a sender carries.
+func (d deployment) startWith(w *world, view *routing.View, seed uint64, sender gateway.Sender) []*gateway.Gateway {
 	f := &fleet{hosts: map[string]*gateway.Gateway{}, asked: map[string]int{}}
 	var peers []split.Peer
 	for i := range d.hosts {
@@ -259,7 +264,7 @@
 	var out []*gateway.Gateway
 	for i, p := range peers {
 		g := gateway.New(gateway.Config{
-			DataCentre: p.DataCentre, Incarnation: uint64(i + 1), Now: w.now, Sender: w, Recorder: silent{}, Self: p, Peers: f,
+			DataCentre: p.DataCentre, Incarnation: uint64(i + 1), Now: w.now, Sender: sender, Recorder: silent{}, Self: p, Peers: f,
 			Tuning: gateway.Tuning{Allowance: balance.Allowance{Ratio: d.ratio, Slack: d.slack, Window: budgetWindow}, CallerLatency: time.Millisecond},
 		}, rand.New(rand.NewPCG(seed, uint64(i))))
 		g.SetHosts(d.hosts)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
+	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 // Sender carries attempts to replicas.
@@ -36,6 +37,16 @@
 	Answered(e Ended)
 	Attempt(code result.Code)
 	Event(e query.Event)
+	Suspect(s Suspect)
+}
+
+// Suspect is a change of what is believed of a request that may crash replicas.
+type Suspect struct {
+	Fingerprint view.Fingerprint
+	Degree      view.Suspicion
+	// RequestID and Replica are empty if another host told of it.
+	RequestID string
+	Replica   string
 }
 
 // Ended describes an answered request.
@@ -212,6 +223,10 @@
 		return g.refuse(r, nil, result.NotFound)
 	}
 	r.Message.Once = !route.Repeatable
+	suspicion := g.beliefs.suspicion(g.cfg.Now(), &r.Message)
+	if suspicion == view.Quarantined {
+		return g.refuse(r, route, result.Quarantined)
+	}
 	service := ""
 	if len(route.Shards) == 0 {
 		service = route.Choose(g.beliefs.random())
@@ -227,7 +242,8 @@
 			return g.refuse(r, route, result.DeadlineTooShort)
 		}
 		patient = !overloaded
-		if groups := g.groups(route); groups > 1 {
+		// A suspect is not divided, so that it runs on one replica at a time.
+		if groups := g.groups(route); groups > 1 && suspicion == view.Innocent {
 			return g.serveDivided(ctx, r, v, route, plan, groups)
 		}
 		if g.beliefs.impossible(g.cfg.Now(), route, plan) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,10 +91,11 @@
 			LeastCovered: least,
 			Paced:        len(route.Shards) > 0,
 		},
-		Deadline: now + left,
-		Replicas: shared,
-		Budgets:  shared,
-		Rand:     rand.New(rand.NewPCG(g.cfg.Incarnation, uint64(now))),
+		Deadline:  now + left,
+		Suspicion: g.beliefs.suspicion(now, &r.Message),
+		Replicas:  shared,
+		Budgets:   shared,
+		Rand:      rand.New(rand.NewPCG(g.cfg.Incarnation, uint64(now))),
 	})
 	return run
 }
@@ -196,6 +197,9 @@
 	for _, c := range a.Cancel {
 		r.g.cfg.Sender.Cancel(c.Key)
 	}
+	if a.Cleared {
+		r.g.beliefs.cleared(r.g.cfg.Now(), &r.request.Message)
+	}
 	r.trace.actions(r.g.cfg.Now()-r.started, &a)
 	for _, e := range a.Events {
 		r.g.cfg.Recorder.Event(e)
@@ -212,6 +216,9 @@
 	r.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := r.g.cfg.Now()
 		r.g.beliefs.ended(now, r.route, attempt, &reply, now-sent)
+		if reply.Code == result.EndpointCrashed {
+			r.g.crashed(now, &r.request.Message, &req)
+		}
 		r.g.cfg.Recorder.Attempt(reply.Code)
 		select {
 		case r.replies <- timedReply{Reply: reply, took: now - sent}:
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/peerlink"
+	"github.com/gypsumlug/gypsumlug/internal/peerwire"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 )
@@ -48,7 +49,11 @@
 	// Peers asks other hosts, and Part answers them for parts of queries.
 	Peers *peerlink.Client
 	Part  func(context.Context, *split.Request) *split.Reply
-	Log   zerolog.Logger
+	// Suspects returns what heartbeats tell of requests that may crash replicas, and
+	// TakeSuspects takes what others tell.
+	Suspects     func() []peerwire.SuspectHint
+	TakeSuspects func([]peerwire.SuspectHint)
+	Log          zerolog.Logger
 }
 
 // Keeper steps the machine of one host. All its fields belong to the goroutine
--- a/internal/keeper/transport.go
+++ b/internal/keeper/transport.go
@@ -39,6 +39,7 @@
 }
 
 func (k *Keeper) sendHello(o discovery.Outgoing) {
+	o.Hello.Suspects = k.opts.Suspects()
 	data, err := msgpack.Marshal(&o.Hello)
 	if err != nil {
 		k.opts.Log.Error().Err(err).Msg("heartbeat not encoded")
@@ -64,6 +65,7 @@
 		if err != nil || msgpack.Unmarshal(buf[:n], &h) != nil {
 			continue
 		}
+		k.opts.TakeSuspects(h.Suspects)
 		k.send(ctx, func(now time.Duration) discovery.Actions { return k.machine.Hello(now, h) })
 	}
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -125,6 +125,9 @@
 	DialsFailed   = "gypsumlug_dials_failed_total"
 	// StoriesSkipped counts answers whose story was over the log's rate.
 	StoriesSkipped = "gypsumlug_log_stories_skipped_total"
+	// Suspects counts changes of what is believed of requests that may crash
+	// endpoints.
+	Suspects = "gypsumlug_suspects_total"
 )
 
 // Gauges of what a host believes.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -50,6 +50,9 @@
 	Quarantined
 )
 
+// String returns the name of the degree.
+func (s Suspicion) String() string { return [...]string{"innocent", "suspected", "quarantined"}[s] }
+
 // Fingerprint identifies a request by service and normalized content.
 type Fingerprint uint64
 
