Tell a crash by a closed port only

Each replica was over its connection cap in a burst and reset connections, and the connection that was to tell whether it is there did not open in time. Change: only a port that refuses (no listener) tells that the replica went away.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
@@ -57,7 +59,7 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	if c := p.dial(time.Now().Add(dialTimeout)); c != nil {
+	if c, _ := p.dial(time.Now().Add(dialTimeout)); c != nil {
 		p.release(c, true)
 	}
 }
@@ -87,8 +89,8 @@
 }
 
 // afterLoss puts a new connection in the place of one that the replica ended while
-// it had an attempt, and returns the reply to the attempt. A replica that accepts
-// none went away with the attempt.
+// it had an attempt, and returns the reply to the attempt. A replica whose port is
+// closed went away with the attempt; one that does not answer may be overloaded.
 func (p *pool) afterLoss(j *job, c *conn, reply dispatch.Reply) dispatch.Reply {
 	p.mu.Lock()
 	removed := p.removed
@@ -98,11 +100,13 @@
 		return reply
 	}
 	c.close()
-	next := p.dial(time.Now().Add(lossCheck))
-	if next == nil {
+	next, err := p.dial(time.Now().Add(lossCheck))
+	switch {
+	case err == nil:
+		p.release(next, true)
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return j.req.Lose(result.EndpointCrashed)
 	}
-	p.release(next, true)
 	return reply
 }
 
@@ -130,7 +134,7 @@
 
 func (p *pool) dialFor(j *job, dials *int) (*conn, result.Code) {
 	*dials++
-	if c := p.dial(j.deadline); c != nil {
+	if c, _ := p.dial(j.deadline); c != nil {
 		return c, 0
 	}
 	if *dials < dialsPerAttempt && time.Now().Before(j.deadline) && !j.wasCancelled() {
@@ -195,7 +199,7 @@
 }
 
 // dial opens a connection that was counted already.
-func (p *pool) dial(deadline time.Time) *conn {
+func (p *pool) dial(deadline time.Time) (*conn, error) {
 	limit := time.Now().Add(dialTimeout)
 	if deadline.Before(limit) {
 		limit = deadline
@@ -209,10 +213,10 @@
 		p.open--
 		p.mu.Unlock()
 		p.wake(nil)
-		return nil
+		return nil, err
 	}
 	_ = raw.SetDeadline(deadline)
-	return newConn(raw)
+	return newConn(raw), nil
 }
 
 // release gives a connection to the next that waits, keeps it, or closes it.
