Close idle connections where none are kept, and share out shards to come

Until a route names the new services, every host took them for services that all hosts keep connections to. Those that came first filled the caps and kept their idle connections; hosts of the shard's group found no room (2,481 refused dials in a second).

Change: services that no route names are taken for an index to come and dealt among groups; a host keeps idle connections only where it is in the group, and closes those it has when it leaves it. Who shares is worked out once a view and not once a service.

--- a/internal/entryhost/connections_test.go
+++ b/internal/entryhost/connections_test.go
@@ -12,8 +12,9 @@
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 )
 
-// index returns a view of an index whose replicas accept some connections each.
-func index(shards, limit int) *routing.View {
+// index returns a view of an index whose replicas accept some connections each, and
+// of the replicas of the shards that are to take its place.
+func index(shards, coming, limit int) *routing.View {
 	route := routing.Route{Name: "r", Host: "x", Prefix: "/", Repeatable: true}
 	config := &routing.Config{Version: 1, Services: map[string]routing.Service{}}
 	var replicas []*routing.Replica
@@ -23,6 +24,11 @@
 		config.Services[name] = routing.Service{Name: name, MaxConnections: limit}
 		replicas = append(replicas, &routing.Replica{ID: name, Service: name, Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "z"})
 	}
+	for i := range coming {
+		name := fmt.Sprintf("t%d", i)
+		config.Services[name] = routing.Service{Name: name, MaxConnections: limit}
+		replicas = append(replicas, &routing.Replica{ID: name, Service: name, Address: fmt.Sprintf("10.0.1.%d:1", i), DataCentre: "z"})
+	}
 	config.Routes = []routing.Route{route}
 	config.Index()
 	return routing.NewView(config, replicas, 0)
@@ -31,17 +37,17 @@
 // The hosts together stay within each replica's cap, on deployments of any size.
 // Hosts that the cap has no room for keep one connection each.
 func TestHostsShareTheConnectionsOfAReplica(t *testing.T) {
-	for _, c := range []struct{ hosts, shards, limit int }{
-		{14, 20, 52}, {20, 20, 58}, {14, 20, 14}, {8, 8, 8}, {3, 1, 50}, {20, 30, 200}, {140, 90, 106}, {60, 48, 26}, {100, 90, 40},
+	for _, c := range []struct{ hosts, shards, coming, limit int }{
+		{14, 20, 0, 52}, {20, 20, 30, 58}, {14, 20, 0, 14}, {8, 8, 0, 8}, {3, 1, 0, 50}, {20, 30, 0, 200}, {140, 90, 135, 106}, {60, 48, 0, 26}, {100, 90, 48, 40},
 	} {
-		t.Run(fmt.Sprintf("%d hosts, %d shards, %d connections", c.hosts, c.shards, c.limit), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d hosts, %d and %d shards, %d connections", c.hosts, c.shards, c.coming, c.limit), func(t *testing.T) {
 			g := NewWithT(t)
-			view := index(c.shards, c.limit)
+			view := index(c.shards, c.coming, c.limit)
 			var peers []split.Peer
 			for i := range c.hosts {
 				peers = append(peers, split.Peer{Address: fmt.Sprintf("10.1.0.%d:1", i), DataCentre: "z"})
 			}
-			warm := make(map[string]int)
+			kept := make(map[string]int)
 			for _, p := range peers {
 				s, err := ParseSettings([]byte(settingsText))
 				g.Expect(err).NotTo(HaveOccurred())
@@ -51,13 +57,13 @@
 				h.gateway.SetHosts(max(c.hosts, leastHosts))
 				h.gateway.SetPeers(peers)
 				for _, target := range h.targets(view) {
-					if target.Warm {
-						warm[target.Key] += target.MaxConnections
+					if target.Keep {
+						kept[target.Key] += target.MaxConnections
 					}
 				}
 			}
-			g.Expect(warm).To(HaveLen(c.shards))
-			for key, n := range warm {
+			g.Expect(kept).To(HaveLen(c.shards + c.coming))
+			for key, n := range kept {
 				g.Expect(n).To(BeNumerically("<=", c.limit), key)
 			}
 		})
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -255,33 +255,26 @@
 	h.log.Info().Dur("after_ms", h.now()).Msg("ready")
 }
 
+// targets returns this host's connections to the replicas of a view. A host that
+// does not keep connections to a service may open one when it needs it.
 func (h *Host) targets(v *routing.View) []forward.Target {
 	targets := make([]forward.Target, 0, len(v.Replicas))
-	shares := make(map[string]connections)
+	sharings := h.gateway.Sharings(v)
 	for key, r := range v.Replicas {
-		share, known := shares[r.Service]
-		if !known {
-			share = h.connections(v, r.Service)
-			shares[r.Service] = share
+		s := sharings[r.Service]
+		most := 1
+		if s.Here {
+			most = connections(v.Config.Services[r.Service].MaxConnections, s.Hosts)
 		}
-		targets = append(targets, forward.Target{Key: key, Address: r.Address, Warm: share.warm, MaxConnections: share.most})
+		targets = append(targets, forward.Target{Key: key, Address: r.Address, Keep: s.Here, MaxConnections: most})
 	}
 	return targets
 }
 
-// connections are those of this host to each replica of a service.
-type connections struct {
-	most int
-	// warm tells that one is kept open.
-	warm bool
-}
-
-// connections returns this host's share of the connections to a replica of a
-// service. Each host may have one, even if that passes the cap in all.
-func (h *Host) connections(v *routing.View, service string) connections {
-	hosts, here := h.gateway.Connecting(v, service)
-	limit := float64(v.Config.Services[service].MaxConnections)
-	return connections{most: max(int(limit*connectionShare/float64(hosts)), 1), warm: here}
+// connections returns one host's share of the connections to a replica. Each host
+// may have one, even if that passes the cap in all.
+func connections(limit, hosts int) int {
+	return max(int(float64(limit)*connectionShare/float64(hosts)), 1)
 }
 
 // drain stops the host: it is no longer ready, serves on until the balancer
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -58,8 +58,9 @@
 	Key            string
 	Address        string
 	MaxConnections int
-	// Warm tells that a first connection is opened ahead of need.
-	Warm bool
+	// Keep tells that a first connection is opened ahead of need, and that idle ones
+	// are kept. Otherwise a connection is closed once no attempt needs it.
+	Keep bool
 }
 
 // Observer is told of connections.
@@ -131,11 +132,10 @@
 		if p == nil {
 			p = newPool(c, t)
 			c.pools[t.Key] = p
-			if t.Warm {
-				time.AfterFunc(rand.N(warmSpread), p.warm)
-			}
 		}
-		p.setMax(t.MaxConnections)
+		if p.limit(t.MaxConnections, t.Keep) {
+			time.AfterFunc(rand.N(warmSpread), p.warm)
+		}
 	}
 	for key, p := range c.pools {
 		if !named[key] {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -22,6 +22,7 @@
 
 	mu      sync.Mutex
 	max     int
+	keep    bool
 	open    int
 	idle    []*conn
 	waiting []chan *conn
@@ -32,17 +33,21 @@
 	return &pool{client: c, key: t.Key, address: t.Address}
 }
 
-func (p *pool) setMax(n int) {
+// limit sets the bound of connections and whether idle ones are kept. It reports
+// whether a first one is to be opened.
+func (p *pool) limit(most int, keep bool) (warm bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.max = max(n, 1)
+	p.max = max(most, 1)
+	warm = keep && !p.keep
+	p.keep = keep
+	if !keep {
+		p.closeIdleLocked()
+	}
+	return warm
 }
 
-// remove closes the idle connections; those in use close when they are released.
-func (p *pool) remove() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.removed = true
+func (p *pool) closeIdleLocked() {
 	for _, c := range p.idle {
 		c.close()
 		p.open--
@@ -50,10 +55,18 @@
 	p.idle = nil
 }
 
+// remove closes the idle connections; those in use close when they are released.
+func (p *pool) remove() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.removed = true
+	p.closeIdleLocked()
+}
+
 // warm opens a connection if there is none.
 func (p *pool) warm() {
 	p.mu.Lock()
-	if p.open > 0 || p.removed {
+	if p.open > 0 || p.removed || !p.keep {
 		p.mu.Unlock()
 		return
 	}
@@ -222,7 +235,8 @@
 // release gives a connection to the next that waits, keeps it, or closes it.
 func (p *pool) release(c *conn, keep bool) {
 	p.mu.Lock()
-	if !keep || p.removed || p.open > p.max {
+	unwanted := !p.keep && len(p.waiting) == 0
+	if !keep || unwanted || p.removed || p.open > p.max {
 		p.open--
 		p.mu.Unlock()
 		c.close()
@@ -249,7 +263,13 @@
 		p.waiting = p.waiting[1:]
 		return
 	}
-	if c != nil {
-		p.idle = append(p.idle, c)
+	if c == nil {
+		return
+	}
+	if !p.keep {
+		c.close()
+		p.open--
+		return
 	}
+	p.idle = append(p.idle, c)
 }
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -83,13 +83,6 @@
 	return b.peers.Own(groups)
 }
 
-// group returns the size of this host's group, and whether it serves a shard.
-func (b *beliefs) group(service string, groups int) (size int, own bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.peers.GroupSize(groups), b.peers.Serves(service, groups)
-}
-
 // pickPeer chooses a host of a group and notes a request to it.
 func (b *beliefs) pickPeer(now time.Duration, group, groups int, near []string) (string, bool) {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -182,24 +181,6 @@
 // SetPeers replaces the other hosts.
 func (g *Gateway) SetPeers(peers []split.Peer) { g.beliefs.setPeers(peers) }
 
-// Connecting returns the number of hosts that keep connections to the replicas of a
-// service, and whether this one does: all hosts do, unless the service is a shard
-// of a divided index; then the hosts of its group do.
-func (g *Gateway) Connecting(v *routing.View, service string) (hosts int, here bool) {
-	hosts, here = g.beliefs.fleet(), true
-	for i := range v.Config.Routes {
-		route := &v.Config.Routes[i]
-		if !slices.Contains(route.Shards, service) {
-			continue
-		}
-		if groups := g.groups(route); groups > 1 {
-			size, own := g.beliefs.group(service, groups)
-			hosts, here = min(hosts, size), here && own
-		}
-	}
-	return hosts, here
-}
-
 // View returns the view in force, or nil.
 func (g *Gateway) View() *routing.View { return g.view.Load() }
 
--- /dev/null
+++ b/internal/gateway/sharing.go
@@ -0,0 +1,62 @@
+package gateway
+
+import "github.com/gypsumlug/gypsumlug/internal/routing"
+
+// Sharing tells which hosts keep connections to the replicas of a service.
+type Sharing struct {
+	// Hosts is their number.
+	Hosts int
+	// Here tells that this host is one of them.
+	Here bool
+}
+
+// Sharings returns who keeps connections to the replicas of each service of a view:
+// all hosts do, unless the service is a shard of a divided index; then the hosts of
+// its group do. Services that no route names yet are taken for the shards of the
+// index to come, so that not every host opens connections to all of them.
+func (g *Gateway) Sharings(v *routing.View) map[string]Sharing {
+	g.beliefs.mu.Lock()
+	defer g.beliefs.mu.Unlock()
+	all := Sharing{Hosts: g.beliefs.hosts, Here: true}
+	out := make(map[string]Sharing)
+	for _, r := range v.Replicas {
+		out[r.Service] = all
+	}
+	unrouted := make(map[string]bool)
+	for service := range out {
+		unrouted[service] = true
+	}
+	for i := range v.Config.Routes {
+		route := &v.Config.Routes[i]
+		for _, part := range route.Parts {
+			delete(unrouted, part.Service)
+		}
+		for _, service := range route.Shards {
+			delete(unrouted, service)
+		}
+		g.beliefs.shareGroup(out, route.Shards)
+	}
+	coming := make([]string, 0, len(unrouted))
+	for service := range unrouted {
+		coming = append(coming, service)
+	}
+	g.beliefs.shareGroup(out, coming)
+	return out
+}
+
+// shareGroup notes that the shards of an index are dealt among groups of hosts; the
+// caller holds mu.
+func (b *beliefs) shareGroup(sharings map[string]Sharing, shards []string) {
+	groups := b.peers.Groups(len(shards))
+	if groups == 1 {
+		return
+	}
+	size := b.peers.GroupSize(groups)
+	for _, service := range shards {
+		s, known := sharings[service]
+		if !known {
+			continue
+		}
+		sharings[service] = Sharing{Hosts: min(s.Hosts, size), Here: s.Here && b.peers.Serves(service, groups)}
+	}
+}
