Deal hosts into teams by rendezvous hashing, groups by powers of two

Hosts of one data centre know 31 to 35 of each other; 35 make 8 groups and 36 make 9, so that they deal shards and hosts differently, and parts go to hosts that keep no connections for them. Some groups had no host in a data centre at all (579 of 7,000 parts of twelve seconds were served by the asking host).

Change: the number of groups is the nearest power of two, and each group has a team in each data centre by rendezvous hashing, never an empty one.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -69,18 +69,19 @@
 	}
 }
 
-// noGroup is no host's group.
-const noGroup = -1
-
-// ownGroup returns the group that this host serves of a query whose replicas are
-// near some data centres, or noGroup if hosts there serve all.
-func (b *beliefs) ownGroup(groups int, near []string) int {
+// ownGroups returns which groups this host serves of a query whose replicas are
+// near some data centres: none if hosts there serve all.
+func (b *beliefs) ownGroups(groups int, near []string) []bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	own := make([]bool, groups)
 	if b.peers.Elsewhere(near) {
-		return noGroup
+		return own
+	}
+	for i := range own {
+		own[i] = b.peers.Serves(i, groups)
 	}
-	return b.peers.Own(groups)
+	return own
 }
 
 // pickPeer chooses a host of a group and notes a request to it.
@@ -181,11 +182,12 @@
 	}
 }
 
-// groupMargin is the room for groups that have more hosts than the mean.
-const groupMargin = 2
+// teamMargin is the room for hosts that send to a group's replicas without being of
+// its team.
+const teamMargin = 2
 
-// divisions returns the sharers of the services whose shards this host's group
-// serves; the caller holds mu.
+// divisions returns the sharers of the services whose shards this host's teams
+// serve; the caller holds mu.
 func (b *beliefs) divisions(v *routing.View) map[string]int {
 	out := make(map[string]int)
 	if v.Config == nil {
@@ -198,8 +200,8 @@
 			continue
 		}
 		for _, service := range shards {
-			if b.peers.Serves(service, groups) {
-				out[service] = min(groupMargin*b.hosts/groups+1, b.hosts)
+			if group := split.Group(service, groups); b.peers.Serves(group, groups) {
+				out[service] = min(teamMargin*b.peers.TeamSize(groups), b.hosts)
 			}
 		}
 	}
--- a/internal/gateway/division.go
+++ b/internal/gateway/division.go
@@ -84,14 +84,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.target)
 	defer cancel()
-	own := g.beliefs.ownGroup(groups, plan.DataCentres)
+	own := g.beliefs.ownGroups(groups, plan.DataCentres)
 	for i, shards := range dealt {
 		d.groups[i].shards = shards
 		if len(shards) == 0 {
 			continue
 		}
 		d.pending++
-		if i == own || !d.ask(ctx, i) {
+		if own[i] || !d.ask(ctx, i) {
 			d.serveHere(ctx, i)
 		}
 	}
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "github.com/gypsumlug/gypsumlug/internal/routing"
+import (
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
 
 // Sharing tells which hosts keep connections to the replicas of a service.
 type Sharing struct {
@@ -12,7 +15,7 @@
 
 // Sharings returns who keeps connections to the replicas of each service of a view:
 // all hosts do, unless the service is a shard of a divided index; then the hosts of
-// its group do. Services that no route names yet are taken for the shards of the
+// its team do. Services that no route names yet are taken for the shards of the
 // index to come, so that not every host opens connections to all of them.
 func (g *Gateway) Sharings(v *routing.View) map[string]Sharing {
 	g.beliefs.mu.Lock()
@@ -51,12 +54,15 @@
 	if groups == 1 {
 		return
 	}
-	size := b.peers.GroupSize(groups)
 	for _, service := range shards {
 		s, known := sharings[service]
 		if !known {
 			continue
 		}
-		sharings[service] = Sharing{Hosts: min(s.Hosts, size), Here: s.Here && b.peers.Serves(service, groups)}
+		group := split.Group(service, groups)
+		sharings[service] = Sharing{
+			Hosts: min(s.Hosts, b.peers.TeamSize(groups)),
+			Here:  s.Here && b.peers.Serves(group, groups),
+		}
 	}
 }
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -2,22 +2,23 @@
 //
 // Where an index has many shards, the fan-out takes one small host longer than
 // the query has, and all hosts together more connections than the replicas
-// accept. So the shards and the hosts are dealt into groups by hash. A host asks
-// one host of each group in its own data centre for that group's shards, serves
-// those of its own group itself, and merges the parts. A host whose data centre
-// has few of the replicas asks hosts of those that have them, for all groups, so
-// that one message a group crosses between data centres and not one a shard.
-// Groups are an efficiency only: any host can serve any shard, and a host whose
-// helper fails does so.
+// accept. So the shards are dealt into groups by hash, and each group has a team of
+// hosts in each data centre, by rendezvous hashing: hosts that know nearly the
+// same others agree on nearly all of it. A host asks one host of each group's team
+// in its own data centre for that group's shards, serves those of its own teams
+// itself, and merges the parts. A host whose data centre has few of the replicas
+// asks hosts of those that have them, for all groups, so that one message a group
+// crosses between data centres and not one a shard. Groups are an efficiency only:
+// any host can serve any shard, and a host whose helper fails does so.
 //
-// A [Table] knows the other hosts and which of them failed lately. It is fed with events and the monotonic time; it is not safe for
-// concurrent use.
+// A [Table] knows the other hosts and which of them failed lately. It is fed with
+// events and the monotonic time; it is not safe for concurrent use.
 package split
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,11 +28,11 @@
 )
 
 const (
-	// shardsPerGroup is the number of shards that one host serves of a query, and
-	// wideIndex the number from which a query is divided.
+	// shardsPerGroup is about the number of shards that one host serves of a query,
+	// and wideIndex the number from which a query is divided.
 	shardsPerGroup = 15
 	wideIndex      = 40
-	// hostsPerGroup is the least number of hosts of a group in a data centre.
+	// hostsPerGroup is about the number of hosts of a team.
 	hostsPerGroup = 4
 	// minHold and maxHold bound the time for which a host that failed is not
 	// asked; it doubles with each failure in a row.
@@ -81,11 +82,10 @@
 // Table knows the hosts that may be asked.
 type Table struct {
 	self Peer
-	// peers are sorted by address; local is the number of those in the own data
-	// centre.
-	peers []Peer
-	local int
-	state map[string]*peerState
+	// centres are the known hosts of each data centre, with this one.
+	centres map[string][]host
+	state   map[string]*peerState
+	teams   map[teamKey][]string
 }
 
 type peerState struct {
@@ -95,23 +95,23 @@
 }
 
 // NewTable returns a table of the host itself.
-func NewTable(self Peer) *Table { return &Table{self: self, state: make(map[string]*peerState)} }
+func NewTable(self Peer) *Table {
+	t := &Table{self: self, state: make(map[string]*peerState)}
+	t.SetPeers(nil)
+	return t
+}
 
 // SetPeers replaces the other hosts.
 func (t *Table) SetPeers(peers []Peer) {
-	t.peers, t.local = t.peers[:0], 0
+	t.centres = map[string][]host{t.self.DataCentre: {newHost(t.self)}}
+	t.teams = make(map[teamKey][]string)
 	known := make(map[string]bool, len(peers))
 	for _, p := range peers {
-		known[p.Address] = true
-		if p.Address == t.self.Address {
-			continue
-		}
-		t.peers = append(t.peers, p)
-		if p.DataCentre == t.self.DataCentre {
-			t.local++
+		if p.Address != t.self.Address && !known[p.Address] {
+			t.centres[p.DataCentre] = append(t.centres[p.DataCentre], newHost(p))
 		}
+		known[p.Address] = true
 	}
-	slices.SortFunc(t.peers, func(a, b Peer) int { return strings.Compare(a.Address, b.Address) })
 	for address := range t.state {
 		if !known[address] {
 			delete(t.state, address)
@@ -120,26 +120,14 @@
 }
 
 // Groups returns the number of groups for an index; one means that its queries are
-// not divided.
+// not divided. It is a power of two, so that hosts that know a few more or fewer
+// others come to the same one.
 func (t *Table) Groups(shards int) int {
 	if shards < wideIndex {
 		return 1
 	}
-	return max(min((shards+shardsPerGroup-1)/shardsPerGroup, (t.local+1)/hostsPerGroup), 1)
-}
-
-// Own returns the group of this host.
-func (t *Table) Own(groups int) int { return groupOf(t.self.Address, groups) }
-
-// GroupSize returns the number of known hosts of this host's group, with this one.
-func (t *Table) GroupSize(groups int) int {
-	own, n := t.Own(groups), 1
-	for _, p := range t.peers {
-		if groupOf(p.Address, groups) == own {
-			n++
-		}
-	}
-	return n
+	most := min(float64(shards)/shardsPerGroup, float64(len(t.centres[t.self.DataCentre]))/hostsPerGroup)
+	return 1 << max(int(math.Round(math.Log2(most))), 0)
 }
 
 // Digest identifies the shards of an index, in their order.
@@ -156,18 +144,14 @@
 func Deal(services []string, groups int) [][]int {
 	out := make([][]int, groups)
 	for i, s := range services {
-		g := groupOf(s, groups)
+		g := Group(s, groups)
 		out[g] = append(out[g], i)
 	}
 	return out
 }
 
-// Serves reports whether a service is in the group of this host.
-func (t *Table) Serves(service string, groups int) bool {
-	return groupOf(service, groups) == t.Own(groups)
-}
-
-func groupOf(name string, groups int) int { return int(xxhash.Sum64String(name) % uint64(groups)) }
+// Group returns the group of a service.
+func Group(service string, groups int) int { return int(xxhash.Sum64String(service) % uint64(groups)) }
 
 // Elsewhere reports whether a query is best served from other data centres: the
 // own one is not among those near the replicas.
@@ -175,17 +159,19 @@
 	return len(near) > 0 && !slices.Contains(near, t.self.DataCentre)
 }
 
-// Pick chooses a host of a group: of two at random the one with fewer requests
-// from here. It is of the own data centre if that is near the replicas or near is
-// empty, or else of one that is; failing that, of the own one. It returns false if
-// there is none that is not held.
+// Pick chooses a host of a group's team: of two at random the one with fewer
+// requests from here. It is of the own data centre if that is near the replicas or
+// near is empty, or else of one that is; failing that, of the own one. It returns
+// false if there is none that is not held.
 func (t *Table) Pick(now time.Duration, group, groups int, near []string, rng *rand.Rand) (string, bool) {
 	var candidates []string
 	if t.Elsewhere(near) {
-		candidates = t.candidates(now, group, groups, func(centre string) bool { return slices.Contains(near, centre) })
+		for _, centre := range near {
+			candidates = t.free(candidates, now, t.team(centre, group, groups))
+		}
 	}
 	if len(candidates) == 0 {
-		candidates = t.candidates(now, group, groups, func(centre string) bool { return centre == t.self.DataCentre })
+		candidates = t.free(nil, now, t.team(t.self.DataCentre, group, groups))
 	}
 	if len(candidates) == 0 {
 		return "", false
@@ -197,12 +183,11 @@
 	return a, true
 }
 
-// candidates returns the hosts of a group in some data centres that are not held.
-func (t *Table) candidates(now time.Duration, group, groups int, in func(centre string) bool) []string {
-	var out []string
-	for _, p := range t.peers {
-		if in(p.DataCentre) && groupOf(p.Address, groups) == group && now >= t.of(p.Address).heldUntil {
-			out = append(out, p.Address)
+// free appends the other hosts of a team that are not held.
+func (t *Table) free(out []string, now time.Duration, team []string) []string {
+	for _, address := range team {
+		if address != t.self.Address && now >= t.of(address).heldUntil {
+			out = append(out, address)
 		}
 	}
 	return out
