Let the hosts of a large fleet keep knowing each other

Cause: 12 members chosen at random in each heartbeat, and 8 seconds until a host is forgotten, are too few for 141 hosts: in a test of 141 machines each lacks 17 of the others on average, and which ones changes all the time (0.1 of 60, none of 20). So teams, shares of budgets and of connections changed all the time too: a host that one host takes for a member of a team does not think so itself, and opens a connection for each attempt. Ruled out by the same test: 24 members at random (2 lacking), the 12, 20 or 24 heard last (9, 1.4, 0.9 lacking).

Change: a heartbeat tells of the 16 heard last, the time until a host is forgotten grows with the fleet, and a host that was not heard for half of it is asked for a sign, in a heartbeat that tells of no others.

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -209,8 +209,11 @@
 	for _, x := range h.Members {
 		m.members.heard(x.Address, x.Start, x.DataCentre, now-x.Age)
 	}
-	if unknown && !h.Leaving {
+	switch {
+	case unknown && !h.Leaving:
 		m.sendTo(now, []string{h.From})
+	case h.Ask:
+		m.send(m.hello(now), []string{h.From})
 	}
 	if h.Reading && m.members.precedes(h.From) {
 		m.acting = false
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/catalog"
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 const (
@@ -52,6 +53,7 @@
 	address string
 	machine *discovery.Machine
 	view    *routing.View
+	peers   []split.Peer
 	frozen  bool
 	dead    bool
 }
@@ -102,6 +104,9 @@
 	if a.View != nil {
 		h.view = a.View
 	}
+	if a.Peers != nil {
+		h.peers = a.Peers
+	}
 	for _, o := range a.Send {
 		w.after(latency, func() { w.deliver(h, o) })
 	}
@@ -393,3 +398,35 @@
 	}
 	g.Expect(to).To(Equal([]string{"127.0.0.1:3"}))
 }
+
+// The hosts of a large fleet know each other all the while, so that they agree on
+// who serves what, and forget one that is gone.
+func TestLargeFleetKnowsItself(t *testing.T) {
+	for _, n := range []int{20, 60, 141} {
+		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(n, 3)
+			w.run(15 * time.Second)
+			lacking := 0
+			for range 40 {
+				w.run(500 * time.Millisecond)
+				for _, h := range w.hosts {
+					lacking += n - 1 - len(h.peers)
+				}
+			}
+			g.Expect(lacking).To(BeZero())
+
+			gone := w.hosts[n/3]
+			gone.dead = true
+			w.run(goneWithin)
+			for _, h := range w.hosts {
+				if h != gone {
+					g.Expect(h.peers).NotTo(ContainElement(HaveField("Address", gone.address)))
+				}
+			}
+		})
+	}
+}
+
+// goneWithin is the time in which all hosts forget one that ended without a word.
+const goneWithin = 12 * time.Second
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -12,13 +12,22 @@
 )
 
 const (
-	// memberTTL is the time without a sign after which a host is forgotten.
-	memberTTL = 8 * time.Second
+	// memberTTL is the least time without a sign after which a host is forgotten, and
+	// memberTTLEach what each known host adds up to, since news take longer in a
+	// larger fleet.
+	memberTTL     = 8 * time.Second
+	memberTTLEach = 60 * time.Millisecond
+	// askAfter is the part of that time, as a divisor, after which a host is asked
+	// for a sign, and asksPerHello bounds those that are asked at a time.
+	askAfter     = 2
+	asksPerHello = 8
 	// sizeMemory is how long the size of a larger fleet is remembered, since
 	// hosts that cannot be heard still send to replicas.
 	sizeMemory = 60 * time.Second
-	// sampleSize is the number of members in a heartbeat.
-	sampleSize = 12
+	// sampleSize is the number of members in a heartbeat. Those heard within about
+	// freshness of each other are drawn at random.
+	sampleSize = 16
+	freshness  = 2 * time.Second
 )
 
 // members are the other hosts. They are hints: no promise rests on them.
@@ -60,8 +69,9 @@
 
 // tick forgets hosts that were not heard for long.
 func (m *members) tick(now time.Duration) {
+	ttl := m.ttl()
 	for address, h := range m.hosts {
-		if now-h.heard > memberTTL {
+		if now-h.heard > ttl {
 			delete(m.hosts, address)
 		}
 	}
@@ -70,6 +80,24 @@
 	}
 }
 
+// ttl returns the time without a sign after which a host is forgotten.
+func (m *members) ttl() time.Duration {
+	return max(memberTTL, time.Duration(len(m.hosts))*memberTTLEach)
+}
+
+// silent returns the hosts to ask for a sign: those not heard for long, the longest
+// first.
+func (m *members) silent(now time.Duration) []string {
+	var out []string
+	for _, a := range m.addresses() {
+		if now-m.hosts[a].heard > m.ttl()/askAfter {
+			out = append(out, a)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(m.hosts[a].heard, m.hosts[b].heard) })
+	return out[:min(len(out), asksPerHello)]
+}
+
 // addresses returns the known hosts in a fixed order.
 func (m *members) addresses() []string {
 	out := make([]string, 0, len(m.hosts))
@@ -107,7 +135,7 @@
 	return other < own || other == own && address < m.self
 }
 
-// sample returns some members for a heartbeat, those heard last first.
+// sample returns some members for a heartbeat: those heard last.
 func (m *members) sample(now time.Duration, rng *rand.Rand) []Member {
 	out := make([]Member, 0, len(m.hosts))
 	for _, a := range m.addresses() {
@@ -115,9 +143,8 @@
 		out = append(out, Member{Address: a, Start: h.start, DataCentre: h.dataCentre, Age: now - h.heard})
 	}
 	rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	out = out[:min(len(out), sampleSize)]
-	slices.SortStableFunc(out, func(a, b Member) int { return cmp.Compare(a.Age, b.Age) })
-	return out
+	slices.SortStableFunc(out, func(a, b Member) int { return cmp.Compare(a.Age/freshness, b.Age/freshness) })
+	return out[:min(len(out), sampleSize)]
 }
 
 // some returns up to n members at random.
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -21,6 +21,8 @@
 	Start uint64 `msgpack:"s"`
 	// DataCentre is the sender's.
 	DataCentre string `msgpack:"c"`
+	// Ask asks for a heartbeat in return.
+	Ask bool `msgpack:"k,omitempty"`
 	// Leaving tells that the sender is stopping.
 	Leaving bool `msgpack:"l"`
 	// Reading tells that the sender reads the store for the others.
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -90,13 +90,40 @@
 		to = m.seeds
 	}
 	m.sendTo(now, to)
+	m.ask(now)
 }
 
+// ask asks hosts that were not heard for long for a sign, without telling them of
+// others.
+func (m *Machine) ask(now time.Duration) {
+	silent := m.members.silent(now)
+	if len(silent) == 0 {
+		return
+	}
+	h := m.hello(now)
+	h.Ask = true
+	m.send(h, silent)
+}
+
+// sendTo sends a heartbeat that tells of other hosts.
 func (m *Machine) sendTo(now time.Duration, to []string) {
 	if len(to) == 0 {
 		return
 	}
-	h := Hello{
+	h := m.hello(now)
+	h.Members = m.members.sample(now, m.rng)
+	m.send(h, to)
+}
+
+func (m *Machine) send(h Hello, to []string) {
+	for _, address := range to {
+		m.out.Send = append(m.out.Send, Outgoing{To: address, Hello: h})
+	}
+}
+
+// hello returns a heartbeat that tells of this host alone.
+func (m *Machine) hello(now time.Duration) Hello {
+	return Hello{
 		Format:     FormatVersion,
 		From:       m.self,
 		Start:      m.start,
@@ -107,9 +134,5 @@
 		Revision:   m.catalog.Revision(),
 		Digest:     m.digest,
 		Age:        m.age(now),
-		Members:    m.members.sample(now, m.rng),
-	}
-	for _, address := range to {
-		m.out.Send = append(m.out.Send, Outgoing{To: address, Hello: h})
 	}
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -14,7 +14,7 @@
 	// maxSuspects bounds the requests that are recorded because of a crash.
 	maxSuspects = 512
 	// maxHints bounds the suspects that are told in one heartbeat.
-	maxHints = 5
+	maxHints = 3
 )
 
 // fingerprint identifies a message that comes again: with the same method, host,
