--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -95,13 +95,25 @@
 	return address, ok
 }
 
-// peerEnded notes the end of a request to a host.
-func (b *beliefs) peerEnded(now time.Duration, address string, ok bool) {
+// peerEnded notes the end of a request to a host. One that was given up before its
+// time tells nothing of the host.
+func (b *beliefs) peerEnded(now time.Duration, address string, ok, givenUp bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if givenUp {
+		b.peers.GivenUp(address)
+		return
+	}
 	b.peers.Ended(now, address, ok)
 }
 
+// peerLate notes that the reply of a host did not come in time.
+func (b *beliefs) peerLate(now time.Duration, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers.Late(now, address)
+}
+
 // admit reports whether a query of an index is worth beginning, and overloaded
 // whether some are not.
 func (b *beliefs) admit(now time.Duration, route *routing.Route) (admitted, overloaded bool) {
--- a/internal/gateway/division.go
+++ b/internal/gateway/division.go
@@ -36,7 +36,9 @@
 	route   *routing.Route
 	plan    *routing.Plan
 	started time.Duration
+	// target is when the answer is on time, and left when it is of no use any more.
 	target  time.Duration
+	left    time.Duration
 	groups  []groupState
 	results chan groupResult
 	pending int
@@ -48,8 +50,9 @@
 type groupState struct {
 	shards []int
 	best   *split.Reply
-	// open tells that a host has the request and did not reply.
-	open bool
+	// open tells that a host has the request and did not reply; address is the host.
+	open    bool
+	address string
 }
 
 type groupResult struct {
@@ -79,10 +82,11 @@
 		g: g, request: r, view: v, route: route, plan: plan,
 		started: g.cfg.Now(),
 		target:  g.target(r, route),
+		left:    patience(r.Patience, route.Timeout),
 		groups:  make([]groupState, groups),
 		results: make(chan groupResult, 2*groups),
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.target)
+	ctx, cancel := context.WithTimeout(ctx, d.left)
 	defer cancel()
 	own := g.beliefs.ownGroups(groups, plan.DataCentres)
 	for i, shards := range dealt {
@@ -104,7 +108,7 @@
 	if !ok {
 		return false
 	}
-	d.groups[group].open = true
+	d.groups[group].open, d.groups[group].address = true, address
 	request := &split.Request{
 		Index:   d.plan.Digest,
 		Route:   d.route.Name,
@@ -116,7 +120,7 @@
 	go func() {
 		reply, err := d.g.cfg.Peers.Part(ctx, address, request)
 		ok := err == nil && reply != nil && reply.Code == 0
-		d.g.beliefs.peerEnded(d.g.cfg.Now(), address, ok || ctx.Err() != nil && err != nil && !late(ctx))
+		d.g.beliefs.peerEnded(d.g.cfg.Now(), address, ok, err != nil && ctx.Err() != nil && !expired(ctx))
 		refused := reply != nil && reply.Code != 0 || errors.Is(err, ErrNotTaken)
 		if !ok {
 			reply = nil
@@ -126,42 +130,68 @@
 	return true
 }
 
-// late reports whether a context ended by its deadline.
-func late(ctx context.Context) bool { return context.Cause(ctx) == context.DeadlineExceeded }
+// expired reports whether a context ended by its deadline.
+func expired(ctx context.Context) bool { return context.Cause(ctx) == context.DeadlineExceeded }
 
-// serveHere serves a group's shards from this host, to end just before the merge.
+// serveHere serves a group's shards from this host, to end just before the merge, or
+// if that has passed, before the answer is of no use any more.
 func (d *division) serveHere(ctx context.Context, group int) {
 	s := &d.groups[group]
-	s.open = true
+	s.open, s.address = true, d.g.cfg.Self.Address
 	shards := s.shards
 	asked := d.g.cfg.Now()
 	left := d.target - mergeTime - (asked - d.started)
+	if left <= 0 {
+		left += d.left - d.target
+	}
 	go func() {
 		reply := d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, left)
 		d.results <- groupResult{group: group, address: d.g.cfg.Self.Address, took: d.g.cfg.Now() - asked, reply: reply}
 	}()
 }
 
-// collect waits for the groups until the target. It returns false if the caller
-// left.
+// collect waits for the groups: until the target, or if the least share is not in
+// then, until it is. It returns false if the caller left.
 func (d *division) collect(ctx context.Context) bool {
-	end := time.NewTimer(d.target)
-	defer end.Stop()
-	for d.pending > 0 {
+	target := time.NewTimer(d.target)
+	defer target.Stop()
+	late := false
+	for d.pending > 0 && !(late && d.covered() >= max(d.route.LeastShards, 1)) {
 		select {
 		case r := <-d.results:
 			d.take(ctx, r)
-		case <-end.C:
-			return true
+		case <-target.C:
+			late = true
+			d.holdLate()
 		case <-d.g.ending:
 			return true
 		case <-ctx.Done():
-			return late(ctx)
+			return expired(ctx)
 		}
 	}
 	return true
 }
 
+// covered returns the number of shards that are in.
+func (d *division) covered() int {
+	n := 0
+	for i := range d.groups {
+		if best := d.groups[i].best; best != nil {
+			n += len(best.Stamps)
+		}
+	}
+	return n
+}
+
+// holdLate keeps further queries for a while from the hosts whose parts are late.
+func (d *division) holdLate() {
+	for i := range d.groups {
+		if s := &d.groups[i]; s.open && s.address != d.g.cfg.Self.Address {
+			d.g.beliefs.peerLate(d.g.cfg.Now(), s.address)
+		}
+	}
+}
+
 // note keeps what the time of a part tells, and a part that lacks shards.
 func (d *division) note(r groupResult) {
 	at := d.g.cfg.Now() - d.started
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -65,6 +65,8 @@
 	// silent hosts never reply, lost ones serve their part and then don't.
 	silent func(address string) bool
 	lose   func(address string) bool
+	// delay is how much later the replies come.
+	delay time.Duration
 }
 
 func (f *fleet) Part(ctx context.Context, address string, r *split.Request) (*split.Reply, error) {
@@ -81,6 +83,11 @@
 		}
 	}
 	reply := f.hosts[address].ServePart(ctx, r)
+	select {
+	case <-time.After(f.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if f.lose != nil && f.lose(address) {
 		return nil, errLost
 	}
@@ -223,6 +230,21 @@
 	}
 }
 
+// A query whose helpers are late gets a late answer, not a failure, as soon as the
+// least share is in.
+func TestDividedQueryWaitsForLateHelpers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, _, hosts := newFleet(24, 100)
+		const lag = 3 * time.Second
+		f.delay = lag
+		began := time.Now()
+		a := ask(hosts[0])
+		g.Expect(a.Code.Class()).To(BeElementOf(result.ClassComplete, result.ClassPartial))
+		g.Expect(time.Since(began)).To(BeNumerically("~", lag, 50*time.Millisecond))
+	})
+}
+
 // Whatever becomes of the helpers, a request is sent to no more replicas of a shard
 // than its route allows.
 func TestDividedQueryKeepsWithinItsReplicas(t *testing.T) {
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -204,6 +204,16 @@
 		s.failures = 0
 		return
 	}
+	s.fail(now)
+}
+
+// GivenUp notes that a request to a host was given up.
+func (t *Table) GivenUp(address string) { t.of(address).inFlight-- }
+
+// Late notes that a host's reply did not come in time. The request has not ended.
+func (t *Table) Late(now time.Duration, address string) { t.of(address).fail(now) }
+
+func (s *peerState) fail(now time.Duration) {
 	s.heldUntil = now + min(minHold<<min(s.failures, 4), maxHold)
 	s.failures++
 }
--- a/internal/split/split_test.go
+++ b/internal/split/split_test.go
@@ -161,3 +161,31 @@
 		g.Expect(split.Digest([]string{"a", "b"})).NotTo(Equal(split.Digest(other)))
 	}
 }
+
+// A host whose replies are late is held for longer each time, also if nobody waits
+// for their end, and no more once one comes in time.
+func TestLateHostIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	table := split.NewTable(split.Peer{Address: "10.0.0.200:1", DataCentre: "a"})
+	table.SetPeers(peers(1, "a"))
+	address := peers(1, "a")[0].Address
+	asked := func(now time.Duration) bool {
+		_, ok := table.Pick(now, 0, 1, nil, rng)
+		return ok
+	}
+	now := time.Second
+	g.Expect(asked(now)).To(BeTrue())
+	for _, hold := range []time.Duration{500, 1000, 2000, 4000, 8000, 8000} {
+		table.Sent(address)
+		table.Late(now, address)
+		table.GivenUp(address)
+		g.Expect(asked(now + hold*time.Millisecond - 1)).To(BeFalse())
+		now += hold * time.Millisecond
+		g.Expect(asked(now)).To(BeTrue())
+	}
+	table.Sent(address)
+	table.Ended(now, address, true)
+	table.Late(now, address)
+	g.Expect(asked(now + 500*time.Millisecond)).To(BeTrue())
+}
