--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -60,60 +60,6 @@
 	}
 }
 
-func (b *beliefs) setPeers(peers []split.Peer) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers.SetPeers(peers)
-	if b.view != nil {
-		b.share()
-	}
-}
-
-// ownGroups returns which groups this host serves of a query whose replicas are
-// near some data centres: none if hosts there serve all.
-func (b *beliefs) ownGroups(groups int, near []string) []bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	own := make([]bool, groups)
-	if b.peers.Elsewhere(near) {
-		return own
-	}
-	for i := range own {
-		own[i] = b.peers.Serves(i, groups)
-	}
-	return own
-}
-
-// pickPeer chooses a host of a group and notes a request to it.
-func (b *beliefs) pickPeer(now time.Duration, group, groups int, near []string) (string, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	address, ok := b.peers.Pick(now, group, groups, near, b.rng)
-	if ok {
-		b.peers.Sent(address)
-	}
-	return address, ok
-}
-
-// peerEnded notes the end of a request to a host. One that was given up before its
-// time tells nothing of the host.
-func (b *beliefs) peerEnded(now time.Duration, address string, ok, givenUp bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if givenUp {
-		b.peers.GivenUp(address)
-		return
-	}
-	b.peers.Ended(now, address, ok)
-}
-
-// peerLate notes that the reply of a host did not come in time.
-func (b *beliefs) peerLate(now time.Duration, address string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers.Late(now, address)
-}
-
 // admit reports whether a query of an index is worth beginning, and overloaded
 // whether some are not.
 func (b *beliefs) admit(now time.Duration, route *routing.Route) (admitted, overloaded bool) {
@@ -174,12 +120,6 @@
 	b.share()
 }
 
-// share works out who shares the allowance of each service; the caller holds mu.
-func (b *beliefs) share() {
-	b.sharers = b.divisions(b.view)
-	b.resize()
-}
-
 func (b *beliefs) setAllowance(a balance.Allowance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -194,41 +134,6 @@
 	}
 }
 
-// teamMargin is the room for hosts that send to a group's replicas without being of
-// its team.
-const teamMargin = 2
-
-// divisions returns the sharers of the services whose shards this host's teams
-// serve; the caller holds mu.
-func (b *beliefs) divisions(v *routing.View) map[string]int {
-	out := make(map[string]int)
-	if v.Config == nil {
-		return out
-	}
-	for i := range v.Config.Routes {
-		shards := v.Config.Routes[i].Shards
-		groups := b.peers.Groups(len(shards))
-		if groups == 1 {
-			continue
-		}
-		for _, service := range shards {
-			if group := split.Group(service, groups); b.peers.Serves(group, groups) {
-				out[service] = min(teamMargin*b.peers.TeamSize(groups), b.hosts)
-			}
-		}
-	}
-	return out
-}
-
-// sharing returns the number of hosts that share the allowance of a service; the
-// caller holds mu.
-func (b *beliefs) sharing(service string) int {
-	if n := b.sharers[service]; n > 0 {
-		return n
-	}
-	return b.hosts
-}
-
 // fleet returns the number of hosts that share the allowance.
 func (b *beliefs) fleet() int {
 	b.mu.Lock()
--- a/internal/gateway/division.go
+++ b/internal/gateway/division.go
@@ -198,10 +198,7 @@
 	lacking, code := len(d.groups[r.group].shards), result.PeerUnreachable
 	if r.reply != nil {
 		lacking, code = len(r.reply.Missing), result.Partial
-		if d.stages.FirstReply == 0 {
-			d.stages.FirstReply = at
-		}
-		d.stages.LastShard = at
+		d.stages.replied(at)
 	}
 	if lacking > 0 {
 		d.trace.add(Step{Kind: StepPart, At: at, Shard: lacking, Replica: r.address, Code: code, Took: r.took})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,14 @@
 	Merge time.Duration
 }
 
+// replied notes a good reply.
+func (s *Stages) replied(at time.Duration) {
+	if s.FirstReply == 0 {
+		s.FirstReply = at
+	}
+	s.LastShard = at
+}
+
 // Request is a caller's request.
 type Request struct {
 	Message dispatch.Message
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -180,13 +180,9 @@
 func (r *run) note(reply *timedReply) {
 	at := r.g.cfg.Now() - r.started
 	r.trace.reply(at, &reply.Reply, reply.took)
-	if reply.Outcome != dispatch.OK {
-		return
+	if reply.Outcome == dispatch.OK {
+		r.stages.replied(at)
 	}
-	if r.stages.FirstReply == 0 {
-		r.stages.FirstReply = at
-	}
-	r.stages.LastShard = at
 }
 
 // apply carries out the actions of the query machine and returns its answer.
--- a/internal/gateway/sharing.go
+++ b/internal/gateway/sharing.go
@@ -66,3 +66,44 @@
 		}
 	}
 }
+
+// share works out who shares the allowance of each service; the caller holds mu.
+func (b *beliefs) share() {
+	b.sharers = b.divisions(b.view)
+	b.resize()
+}
+
+// teamMargin is the room for hosts that send to a group's replicas without being of
+// its team.
+const teamMargin = 2
+
+// divisions returns the sharers of the services whose shards this host's teams
+// serve; the caller holds mu.
+func (b *beliefs) divisions(v *routing.View) map[string]int {
+	out := make(map[string]int)
+	if v.Config == nil {
+		return out
+	}
+	for i := range v.Config.Routes {
+		shards := v.Config.Routes[i].Shards
+		groups := b.peers.Groups(len(shards))
+		if groups == 1 {
+			continue
+		}
+		for _, service := range shards {
+			if group := split.Group(service, groups); b.peers.Serves(group, groups) {
+				out[service] = min(teamMargin*b.peers.TeamSize(groups), b.hosts)
+			}
+		}
+	}
+	return out
+}
+
+// sharing returns the number of hosts that share the allowance of a service; the
+// caller holds mu.
+func (b *beliefs) sharing(service string) int {
+	if n := b.sharers[service]; n > 0 {
+		return n
+	}
+	return b.hosts
+}
