Deal teams and parts by the hosts' processors

Cause: on the grown deployments two hosts of a data centre have six times the processor of the others, and served as many parts as those, whose 0.134 of a core binds the quick lookups' 50 ms. Change: heartbeats tell what a host has of a processor; a team is chosen by weighted rendezvous hashing, and of two hosts the one with less load for each processor gets a part. Hosts that do not say count as whole ones. A machine of discovery is made from the member that it is.

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -116,17 +116,15 @@
 // Invariants: the version of the configuration and the revision of the replicas
 // in force never go back; at most one read and one fetch are under way.
 type Machine struct {
-	self       string
-	dataCentre string
-	start      uint64
-	seeds      []string
-	rng        *rand.Rand
-	members    *members
-	catalog    *catalog.Catalog
-	config     *routing.Config
-	digest     uint64
-	reading    bool
-	failures   int
+	self     Member
+	seeds    []string
+	rng      *rand.Rand
+	members  *members
+	catalog  *catalog.Catalog
+	config   *routing.Config
+	digest   uint64
+	reading  bool
+	failures int
 	// acting tells that this host reads the store for the others: it did so last,
 	// and no host before it in the order does.
 	acting   bool
@@ -141,18 +139,16 @@
 	out      Actions
 }
 
-// NewMachine returns a machine for a host at a peer address in a data centre. Seeds are peer
-// addresses that may be stale. It begins at a time of the clock.
-func NewMachine(self, dataCentre string, start uint64, seeds []string, now time.Duration, rng *rand.Rand) *Machine {
-	seed := slices.Contains(seeds, self)
+// NewMachine returns a machine for a host; its Address is where peers reach it. Seeds
+// are peer addresses that may be stale. It begins at a time of the clock.
+func NewMachine(self Member, seeds []string, now time.Duration, rng *rand.Rand) *Machine {
+	seed := slices.Contains(seeds, self.Address)
 	m := &Machine{
-		self:       self,
-		dataCentre: dataCentre,
-		start:      start,
-		rng:        rng,
-		members:    newMembers(self),
-		catalog:    catalog.New(),
-		hosts:      1,
+		self:    self,
+		rng:     rng,
+		members: newMembers(self.Address),
+		catalog: catalog.New(),
+		hosts:   1,
 	}
 	m.SetSeeds(seeds)
 	m.spread = time.Duration(rng.Int64N(int64(staleSpread)))
@@ -169,7 +165,7 @@
 
 // SetSeeds replaces the seeds.
 func (m *Machine) SetSeeds(seeds []string) {
-	m.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == m.self })
+	m.seeds = slices.DeleteFunc(slices.Clone(seeds), func(s string) bool { return s == m.self.Address })
 }
 
 // Tick handles the passing of time.
@@ -197,17 +193,17 @@
 
 // Hello handles a heartbeat.
 func (m *Machine) Hello(now time.Duration, h Hello) Actions {
-	if h.Format != FormatVersion || h.From == m.self {
+	if h.Format != FormatVersion || h.From == m.self.Address {
 		return m.take()
 	}
 	unknown := m.members.hosts[h.From] == nil
 	if h.Leaving {
 		m.members.left(h.From)
 	} else {
-		m.members.heard(h.From, h.Start, h.DataCentre, now)
+		m.members.heard(Member{Address: h.From, Start: h.Start, DataCentre: h.DataCentre, Processor: h.Processor}, now)
 	}
 	for _, x := range h.Members {
-		m.members.heard(x.Address, x.Start, x.DataCentre, now-x.Age)
+		m.members.heard(x, now-x.Age)
 	}
 	switch {
 	case unknown && !h.Leaving:
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -72,7 +72,7 @@
 
 func (w *world) start(h *host) {
 	seeds := []string{w.hosts[0].address, "10.9.9.9:1", w.hosts[len(w.hosts)/2].address}
-	h.machine = discovery.NewMachine(h.address, "dc", w.rng.Uint64(), seeds, w.now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
+	h.machine = discovery.NewMachine(discovery.Member{Address: h.address, DataCentre: "dc", Start: w.rng.Uint64()}, seeds, w.now, rand.New(rand.NewPCG(w.rng.Uint64(), 2)))
 	h.view, h.dead, h.frozen = nil, false, false
 }
 
@@ -389,7 +389,7 @@
 // New seeds are told of this host at its next heartbeat.
 func TestSeedsMayChange(t *testing.T) {
 	g := NewWithT(t)
-	m := discovery.NewMachine("127.0.0.1:1", "z", 1, []string{"127.0.0.1:2"}, 0, rand.New(rand.NewPCG(1, 1)))
+	m := discovery.NewMachine(discovery.Member{Address: "127.0.0.1:1", DataCentre: "z", Start: 1}, []string{"127.0.0.1:2"}, 0, rand.New(rand.NewPCG(1, 1)))
 	m.Tick(0)
 	m.SetSeeds([]string{"127.0.0.1:1", "127.0.0.1:3"})
 	var to []string
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -40,9 +40,8 @@
 }
 
 type member struct {
-	start      uint64
-	dataCentre string
-	heard      time.Duration
+	Member
+	heard time.Duration
 }
 
 func newMembers(self string) *members {
@@ -51,17 +50,12 @@
 
 // heard notes a sign of a host at a time. A sign of an earlier incarnation that
 // comes late changes nothing.
-func (m *members) heard(address string, start uint64, dataCentre string, at time.Duration) {
-	if address == m.self || address == "" {
+func (m *members) heard(x Member, at time.Duration) {
+	if x.Address == m.self || x.Address == "" {
 		return
 	}
-	known := m.hosts[address]
-	if known == nil {
-		m.hosts[address] = &member{start: start, dataCentre: dataCentre, heard: at}
-		return
-	}
-	if at > known.heard {
-		known.start, known.dataCentre, known.heard = start, dataCentre, at
+	if known := m.hosts[x.Address]; known == nil || at > known.heard {
+		m.hosts[x.Address] = &member{Member: x, heard: at}
 	}
 }
 
@@ -112,7 +106,7 @@
 func (m *members) peers() []split.Peer {
 	out := make([]split.Peer, 0, len(m.hosts))
 	for _, a := range m.addresses() {
-		out = append(out, split.Peer{Address: a, DataCentre: m.hosts[a].dataCentre})
+		out = append(out, split.Peer{Address: a, DataCentre: m.hosts[a].DataCentre, Processor: m.hosts[a].Processor})
 	}
 	return out
 }
@@ -147,8 +141,9 @@
 func (m *members) all(now time.Duration) []Member {
 	out := make([]Member, 0, len(m.hosts))
 	for _, a := range m.addresses() {
-		h := m.hosts[a]
-		out = append(out, Member{Address: a, Start: h.start, DataCentre: h.dataCentre, Age: now - h.heard})
+		x := m.hosts[a].Member
+		x.Age = now - m.hosts[a].heard
+		out = append(out, x)
 	}
 	return out
 }
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -21,6 +21,8 @@
 	Start uint64 `msgpack:"s"`
 	// DataCentre is the sender's.
 	DataCentre string `msgpack:"c"`
+	// Processor is what the sender has of one, in hundredths; zero if it does not say.
+	Processor int `msgpack:"p,omitempty"`
 	// Ask asks for a heartbeat in return.
 	Ask bool `msgpack:"k,omitempty"`
 	// Leaving tells that the sender is stopping.
@@ -45,6 +47,8 @@
 	Address    string `msgpack:"a"`
 	Start      uint64 `msgpack:"s"`
 	DataCentre string `msgpack:"c"`
+	// Processor is what the host has of one, in hundredths.
+	Processor int `msgpack:"p,omitempty"`
 	// Age is the time since the host was heard.
 	Age time.Duration `msgpack:"g"`
 }
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -36,7 +36,7 @@
 		return m.take()
 	}
 	for _, x := range s.Members {
-		m.members.heard(x.Address, x.Start, x.DataCentre, now-x.Age)
+		m.members.heard(x, now-x.Age)
 	}
 	changed := m.takeConfig(s.Config, from)
 	if s.Revision > m.catalog.Revision() || !m.catalog.Known() && s.Revision > 0 {
@@ -131,9 +131,10 @@
 func (m *Machine) hello(now time.Duration) Hello {
 	return Hello{
 		Format:     FormatVersion,
-		From:       m.self,
-		Start:      m.start,
-		DataCentre: m.dataCentre,
+		From:       m.self.Address,
+		Start:      m.self.Start,
+		DataCentre: m.self.DataCentre,
+		Processor:  m.self.Processor,
 		Leaving:    m.leaving,
 		Reading:    m.acting,
 		Version:    m.version(),
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -98,7 +98,7 @@
 		Tuning:      s.tuning(),
 		Now:         h.now,
 		Sender:      h.client,
-		Self:        split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre},
+		Self:        s.self(),
 		Peers:       partClient{h.peers},
 		Recorder:    recorder,
 	}, newRand(seed[16:]))
@@ -191,7 +191,8 @@
 	began := boottime.Now() - h.now()
 	now := func() time.Duration { return boottime.Now() - began }
 	s := h.settings.Load()
-	machine := discovery.NewMachine(s.PeerAddress, s.DataCentre, h.incarnation, s.Seeds, now(), h.rng)
+	self := discovery.Member{Address: s.PeerAddress, DataCentre: s.DataCentre, Start: h.incarnation, Processor: s.self().Processor}
+	machine := discovery.NewMachine(self, s.Seeds, now(), h.rng)
 	return keeper.New(keeper.Options{
 		Self:         s.PeerAddress,
 		Start:        h.incarnation,
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
 // Settings are the settings of a host, in JSON with comments. Unknown fields are
@@ -96,6 +98,14 @@
 	return nil
 }
 
+// hundred is the unit of processors that hosts tell each other.
+const hundred = 100
+
+// self returns the host as its peers know it.
+func (s *Settings) self() split.Peer {
+	return split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre, Processor: int(math.Round(s.Processor * hundred))}
+}
+
 // Grace returns the time from SIGTERM to SIGKILL.
 func (s *Settings) Grace() time.Duration {
 	return time.Duration(s.GraceSeconds * float64(time.Second))
--- a/internal/keeper/transport_test.go
+++ b/internal/keeper/transport_test.go
@@ -19,10 +19,10 @@
 func TestHeartbeatFitsIntoADatagram(t *testing.T) {
 	g := NewWithT(t)
 	const address, centre = "255.255.255.255:65535", "fray-bentos"
-	m := discovery.NewMachine(address, centre, math.MaxUint64, []string{"10.0.0.1:1"}, 0, rand.New(rand.NewPCG(1, 1)))
+	m := discovery.NewMachine(discovery.Member{Address: address, DataCentre: centre, Start: math.MaxUint64, Processor: 100}, []string{"10.0.0.1:1"}, 0, rand.New(rand.NewPCG(1, 1)))
 	now := time.Second
 	for i := range 200 {
-		m.Hello(now, discovery.Hello{Format: discovery.FormatVersion, From: fmt.Sprintf("255.255.255.%03d:65535", i), Start: math.MaxUint64, DataCentre: centre})
+		m.Hello(now, discovery.Hello{Format: discovery.FormatVersion, From: fmt.Sprintf("255.255.255.%03d:65535", i), Start: math.MaxUint64, DataCentre: centre, Processor: 100})
 	}
 	a := m.Tick(now + 100*time.Millisecond)
 	g.Expect(a.Send).NotTo(BeEmpty())
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -77,6 +77,8 @@
 type Peer struct {
 	Address    string
 	DataCentre string
+	// Processor is what the host has of one, in hundredths; zero means a whole one.
+	Processor int
 }
 
 // Table knows the hosts that may be asked.
@@ -85,7 +87,7 @@
 	// centres are the known hosts of each data centre, with this one.
 	centres map[string][]host
 	state   map[string]*peerState
-	teams   map[teamKey][]string
+	teams   map[teamKey][]host
 }
 
 type peerState struct {
@@ -104,7 +106,7 @@
 // SetPeers replaces the other hosts.
 func (t *Table) SetPeers(peers []Peer) {
 	t.centres = map[string][]host{t.self.DataCentre: {newHost(t.self)}}
-	t.teams = make(map[teamKey][]string)
+	t.teams = make(map[teamKey][]host)
 	known := make(map[string]bool, len(peers))
 	for _, p := range peers {
 		if p.Address != t.self.Address && !known[p.Address] {
@@ -164,7 +166,7 @@
 // near is empty, or else of one that is; failing that, of the own one. It returns
 // false if there is none that is not held.
 func (t *Table) Pick(now time.Duration, group, groups int, near []string, rng *rand.Rand) (string, bool) {
-	var candidates []string
+	var candidates []host
 	if t.Elsewhere(near) {
 		for _, centre := range near {
 			candidates = t.free(candidates, now, t.team(centre, group, groups))
@@ -177,17 +179,21 @@
 		return "", false
 	}
 	a, b := candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))]
-	if t.of(b).inFlight < t.of(a).inFlight {
-		return b, true
+	if t.load(b) < t.load(a) {
+		return b.address, true
 	}
-	return a, true
+	return a.address, true
 }
 
+// load returns what one more request from here makes of a host's load, for each
+// processor that it has.
+func (t *Table) load(h host) float64 { return float64(t.of(h.address).inFlight+1) / h.processor }
+
 // free appends the other hosts of a team that are not held.
-func (t *Table) free(out []string, now time.Duration, team []string) []string {
-	for _, address := range team {
-		if address != t.self.Address && now >= t.of(address).heldUntil {
-			out = append(out, address)
+func (t *Table) free(out []host, now time.Duration, team []host) []host {
+	for _, h := range team {
+		if h.address != t.self.Address && now >= t.of(h.address).heldUntil {
+			out = append(out, h)
 		}
 	}
 	return out
--- a/internal/split/split_test.go
+++ b/internal/split/split_test.go
@@ -189,3 +189,27 @@
 	table.Late(now, address)
 	g.Expect(asked(now + 500*time.Millisecond)).To(BeTrue())
 }
+
+// A host with more of a processor is in more teams and gets more of the parts.
+func TestStrongHostsServeMore(t *testing.T) {
+	g := NewWithT(t)
+	weak := peers(33, "a")
+	for i := range weak {
+		weak[i].Processor = 13
+	}
+	strong := split.Peer{Address: "10.0.0.201:1", DataCentre: "a", Processor: 80}
+	table := split.NewTable(split.Peer{Address: "10.0.0.200:1", DataCentre: "a", Processor: 13})
+	table.SetPeers(append(weak, strong))
+	rng := rand.New(rand.NewPCG(1, 2))
+	parts := map[string]int{}
+	for range 200 {
+		for group := range 8 {
+			address, ok := table.Pick(time.Second, group, 8, nil, rng)
+			g.Expect(ok).To(BeTrue())
+			parts[address]++
+		}
+	}
+	mean := 200 * 8 / 34
+	g.Expect(parts[strong.Address]).To(BeNumerically(">", 3*mean))
+	g.Expect(len(parts)).To(BeNumerically(">", 34/2), "the others serve too")
+}
--- a/internal/split/team.go
+++ b/internal/split/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,17 +10,33 @@
 
 // host is a host with the hash of its address.
 type host struct {
-	address string
-	hash    uint64
+	address   string
+	hash      uint64
+	processor float64
 }
 
-func newHost(p Peer) host { return host{address: p.Address, hash: xxhash.Sum64String(p.Address)} }
+// wholeProcessor is a processor in the unit of Peer.
+const wholeProcessor = 100
 
-// weight is the rank of a host in the team of a group: its hash, mixed with the
-// group by the finalizer of SplitMix64.
-func (h host) weight(group int) uint64 {
-	const golden = 0x9e3779b97f4a7c15
-	x := h.hash + uint64(group+1)*golden
+func newHost(p Peer) host {
+	processor := p.Processor
+	if processor <= 0 {
+		processor = wholeProcessor
+	}
+	return host{address: p.Address, hash: xxhash.Sum64String(p.Address), processor: float64(processor) / wholeProcessor}
+}
+
+// weight is the rank of a host in the team of a group, by weighted rendezvous
+// hashing: a host is in as many teams as its processor allows.
+func (h host) weight(group int) float64 {
+	const mantissaBits = 53
+	point := (float64(mix(h.hash, group)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return -h.processor / math.Log(point)
+}
+
+// mix returns a hash and a group mixed by the finalizer of SplitMix64.
+func mix(hash uint64, group int) uint64 {
+	x := hash + uint64(group+1)*0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
@@ -31,9 +48,9 @@
 	group, groups int
 }
 
-// team returns the addresses of the hosts of a data centre that serve a group: those
-// with the greatest weights. They hold until the peers change.
-func (t *Table) team(centre string, group, groups int) []string {
+// team returns the hosts of a data centre that serve a group: those with the
+// greatest weights. They hold until the peers change.
+func (t *Table) team(centre string, group, groups int) []host {
 	key := teamKey{centre: centre, group: group, groups: groups}
 	team, known := t.teams[key]
 	if !known {
@@ -45,7 +62,7 @@
 
 // Serves reports whether this host is in the team of a group.
 func (t *Table) Serves(group, groups int) bool {
-	return slices.Contains(t.team(t.self.DataCentre, group, groups), t.self.Address)
+	return slices.ContainsFunc(t.team(t.self.DataCentre, group, groups), func(h host) bool { return h.address == t.self.Address })
 }
 
 // TeamSize returns the number of known hosts that serve a group, in all data
@@ -61,16 +78,22 @@
 // teamSize returns the number of hosts of a team in a data centre.
 func teamSize(hosts, groups int) int { return (hosts + groups - 1) / groups }
 
-// heaviest returns the addresses of the n hosts with the greatest weights for a
-// group.
-func heaviest(hosts []host, group, n int) []string {
-	sorted := slices.Clone(hosts)
-	slices.SortFunc(sorted, func(a, b host) int {
-		return cmp.Or(cmp.Compare(b.weight(group), a.weight(group)), cmp.Compare(a.address, b.address))
+// heaviest returns the n hosts with the greatest weights for a group.
+func heaviest(hosts []host, group, n int) []host {
+	type weighted struct {
+		host
+		weight float64
+	}
+	sorted := make([]weighted, 0, len(hosts))
+	for _, h := range hosts {
+		sorted = append(sorted, weighted{host: h, weight: h.weight(group)})
+	}
+	slices.SortFunc(sorted, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.address, b.address))
 	})
-	out := make([]string, 0, n)
+	out := make([]host, 0, n)
 	for _, h := range sorted[:n] {
-		out = append(out, h.address)
+		out = append(out, h.host)
 	}
 	return out
 }
