--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -22,8 +22,8 @@
 	eventSuspect  = "request may crash replicas"
 )
 
-// belief marks the lines that tell what the host believes.
-const belief = "belief"
+// eventBelief marks the lines that tell what the host believes.
+const eventBelief = "belief"
 
 const (
 	// linesPerSecond bounds the lines of stories, and lineBurst those at once.
@@ -221,7 +221,7 @@
 		r.counters.Inc(telemetry.StoriesSkipped)
 		return
 	}
-	line := r.log.Info().Str("event", belief).Uint64("fingerprint", uint64(s.Fingerprint)).Stringer("degree", s.Degree)
+	line := r.log.Info().Str("event", eventBelief).Uint64("fingerprint", uint64(s.Fingerprint)).Stringer("degree", s.Degree)
 	if s.RequestID != "" {
 		line.Str("request", s.RequestID).Str("replica", s.Replica)
 	}
--- a/internal/entryhost/settings.go
+++ b/internal/entryhost/settings.go
@@ -98,12 +98,13 @@
 	return nil
 }
 
-// hundred is the unit of processors that hosts tell each other.
-const hundred = 100
-
 // self returns the host as its peers know it.
 func (s *Settings) self() split.Peer {
-	return split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre, Processor: int(math.Round(s.Processor * hundred))}
+	p := split.Peer{Address: s.PeerAddress, DataCentre: s.DataCentre}
+	if s.Processor > 0 {
+		p.Processor = int(math.Ceil(s.Processor * split.WholeProcessor))
+	}
+	return p
 }
 
 // Grace returns the time from SIGTERM to SIGKILL.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,7 +36,7 @@
 	replyGrace = 150 * time.Millisecond
 	// lossCheck bounds the opening of a connection that tells whether a replica
 	// that ended one is still there.
-	lossCheck = 100 * time.Millisecond
+	lossCheck = 50 * time.Millisecond
 	// maxStray bounds the responses to other requests that are skipped.
 	maxStray = 3
 	// readBuffer is the size of a connection's read buffer, in bytes.
--- a/internal/gateway/division.go
+++ b/internal/gateway/division.go
@@ -50,11 +50,18 @@
 type groupState struct {
 	shards []int
 	best   *split.Reply
-	// open tells that a host has the request and did not reply; address is the host.
+	// open tells that a host has the request and did not reply yet, lost that it never
+	// will; address is the host.
 	open    bool
+	lost    bool
 	address string
 }
 
+// mayHaveRun reports whether an endpoint may have run the group's part.
+func (s *groupState) mayHaveRun() bool {
+	return s.open || s.lost || s.best != nil && (s.best.MayHaveRun || len(s.best.Stamps) > 0)
+}
+
 type groupResult struct {
 	group int
 	// address is the host that was asked.
@@ -151,12 +158,13 @@
 }
 
 // collect waits for the groups: until the target, or if the least share is not in
-// then, until it is. It returns false if the caller left.
+// then, until it is or cannot be any more. It returns false if the caller left.
 func (d *division) collect(ctx context.Context) bool {
 	target := time.NewTimer(d.target)
 	defer target.Stop()
+	least := max(d.route.LeastShards, 1)
 	late := false
-	for d.pending > 0 && !(late && d.covered() >= max(d.route.LeastShards, 1)) {
+	for d.pending > 0 && !d.hopeless(least) && !(late && d.covered() >= least) {
 		select {
 		case r := <-d.results:
 			d.take(ctx, r)
@@ -183,6 +191,21 @@
 	return n
 }
 
+// hopeless reports whether the least share cannot be in any more. While nothing is
+// known to have run, what is under way may still prove that nothing did.
+func (d *division) hopeless(least int) bool {
+	reach, ran := d.covered(), false
+	for i := range d.groups {
+		s := &d.groups[i]
+		if s.open {
+			reach += len(s.shards)
+		} else {
+			ran = ran || s.mayHaveRun()
+		}
+	}
+	return ran && reach < least
+}
+
 // holdLate keeps further queries for a while from the hosts whose parts are late.
 func (d *division) holdLate() {
 	for i := range d.groups {
@@ -211,6 +234,7 @@
 func (d *division) take(ctx context.Context, r groupResult) {
 	s := &d.groups[r.group]
 	s.open = false
+	s.lost = r.reply == nil && !r.refused
 	s.best = r.reply
 	d.note(r)
 	switch {
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -245,6 +245,25 @@
 	})
 }
 
+// A query that cannot get the least share any more ends there, though other parts
+// are under way.
+func TestDividedQueryEndsWhenItIsHopeless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, _, hosts := newFleet(24, 100)
+		f.fail = func(address string) error {
+			if address[len(address)-3] == '1' {
+				return nil
+			}
+			return errLost
+		}
+		f.delay = time.Second
+		began := time.Now()
+		g.Expect(ask(hosts[0]).Code).To(Equal(result.OutcomeUnknown))
+		g.Expect(time.Since(began)).To(BeNumerically("<", f.delay))
+	})
+}
+
 // Whatever becomes of the helpers, a request is sent to no more replicas of a shard
 // than its route allows.
 func TestDividedQueryKeepsWithinItsReplicas(t *testing.T) {
@@ -298,3 +317,15 @@
 	g.Expect(a.Code.Class()).To(Equal(result.ClassNotRun))
 	g.Expect(a.RetryAfter).To(BeNumerically(">", 0))
 }
+
+// A query whose helpers were lost may have run there: it is not told as not run,
+// though every replica refused this host's own part.
+func TestDividedQueryWithLostHelpersIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, sender, hosts := newFleet(24, 100)
+		sender.refuse = func(string) bool { return true }
+		f.lose = func(string) bool { return true }
+		g.Expect(ask(hosts[0]).Code.Class()).To(Equal(result.ClassUnknown))
+	})
+}
--- a/internal/gateway/merge.go
+++ b/internal/gateway/merge.go
@@ -26,10 +26,9 @@
 	var m merged
 	for i := range d.groups {
 		s := &d.groups[i]
+		m.mayHaveRun = m.mayHaveRun || s.mayHaveRun()
 		if s.best != nil {
 			m.add(s.best)
-		} else if s.open {
-			m.mayHaveRun = true
 		}
 	}
 	return m
@@ -38,7 +37,6 @@
 func (m *merged) add(r *split.Reply) {
 	m.covered += len(r.Stamps)
 	m.attempts += r.Attempts
-	m.mayHaveRun = m.mayHaveRun || r.MayHaveRun || len(r.Stamps) > 0
 	m.records = append(m.records, &dispatch.Response{Body: r.Records})
 	for _, stamp := range r.Stamps {
 		m.parts = append(m.parts, &dispatch.Response{Stamp: stamp})
--- a/internal/split/team.go
+++ b/internal/split/team.go
@@ -15,15 +15,15 @@
 	processor float64
 }
 
-// wholeProcessor is a processor in the unit of Peer.
-const wholeProcessor = 100
+// WholeProcessor is a processor in the unit of [Peer].
+const WholeProcessor = 100
 
 func newHost(p Peer) host {
 	processor := p.Processor
 	if processor <= 0 {
-		processor = wholeProcessor
+		processor = WholeProcessor
 	}
-	return host{address: p.Address, hash: xxhash.Sum64String(p.Address), processor: float64(processor) / wholeProcessor}
+	return host{address: p.Address, hash: xxhash.Sum64String(p.Address), processor: float64(processor) / WholeProcessor}
 }
 
 // weight is the rank of a host in the team of a group, by weighted rendezvous
