Let the parts of a query end before a test counts what they crashed

Traced: since a hopeless query ends at once, it is answered while parts at other hosts still run, and the test counted before they had ended.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -56,10 +56,17 @@
 	return len(c.crashed)
 }
 
+// partTime is longer than the parts of a query that has been answered go on.
+const partTime = 500 * time.Millisecond
+
+// askAt asks a host and waits until the parts that other hosts serve have ended too.
 func askAt(host *gateway.Gateway, target, id string) gateway.Answer {
-	return host.Serve(context.Background(), &gateway.Request{
+	a := host.Serve(context.Background(), &gateway.Request{
 		Message: dispatch.Message{ID: id, Method: "GET", Host: "x", Target: target, Caller: "100.64.0.7"}, Path: target, Patience: time.Second,
 	})
+	time.Sleep(partTime)
+	synctest.Wait()
+	return a
 }
 
 // tell passes what each host knows on to all others, as heartbeats do.
