Count what tells the hypotheses about departed callers apart

Logs and counters could not say whether work for a departed caller went on because the cancellation did not reach another host, because a request was delivered after its attempt had ended, or because the request began late.

- Requests whose caller leaves after attempts were sent are counted and logged as 408 (cancelled); 323 (caller-gone) is left for those that sent nothing, as its text always said.
The log line has the shards and the attempts sent.
- Connections to replicas that are closed while a request has no response, and those of them on which the replica has not acknowledged the request.

Nothing is decided differently.

--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -232,6 +232,14 @@
 	line.Msg(eventSuspect)
 }
 
+// Abandoned implements forward.Observer.
+func (r *recorder) Abandoned(_ string, unacknowledged bool) {
+	r.counters.Inc(telemetry.ConnectionsAbandoned)
+	if unacknowledged {
+		r.counters.Inc(telemetry.ConnectionsUnacknowledged)
+	}
+}
+
 // Dialed implements forward.Observer.
 func (r *recorder) Dialed(_ string, err error) {
 	if err != nil {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -53,6 +53,9 @@
 	// announced none.
 	idleTimeout time.Duration
 	idleChecker *dial.IdleChecker
+	// unanswered is true from the first write of a request until its response is
+	// complete.
+	unanswered bool
 }
 
 func newConn(netConn net.Conn) *conn {
@@ -91,9 +94,11 @@
 		return a.req.RefusedReply(result.ExpiredBeforeSend), reusable
 	}
 	c.request = codec.Encode(c.request[:0], &a.req, remaining)
+	c.unanswered = true
 	n, err := c.Write(c.request)
 	if err != nil {
 		if n == 0 && !errors.Is(err, syscall.EAGAIN) && time.Now().Before(a.deadline) && !a.wasCancelled() {
+			c.unanswered = false
 			return dispatch.Reply{}, notWritten
 		}
 		return c.noResponseReply(a), unusable
@@ -119,6 +124,7 @@
 		}
 		reply, matches := codec.Decode(&a.req, resp, body)
 		if matches {
+			c.unanswered = false
 			if c.reader.Buffered() > 0 {
 				res = unusable
 			}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,10 +70,14 @@
 	KeepIdle bool
 }
 
-// Observer is notified of dials.
+// Observer is notified of connections that are opened or abandoned.
 type Observer interface {
 	// Dialed is called after each dial; err is nil if the connection was opened.
 	Dialed(endpoint string, err error)
+	// Abandoned is called before a connection is closed on which a request has no
+	// complete response. unacknowledged means that the replica has not acknowledged all
+	// bytes of the request, so that it may not have received it.
+	Abandoned(endpoint string, unacknowledged bool)
 }
 
 // Client holds the connections of one host to its replicas. It is safe for
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -38,8 +38,16 @@
 	return dispatch.Reply{Key: req.Key, Endpoint: req.Endpoint, Outcome: dispatch.OK, Response: &dispatch.Response{Status: resp.StatusCode, Body: body}}, true
 }
 
-// connectionCounter counts the connections that were opened.
-type connectionCounter struct{ count atomic.Int32 }
+// connectionCounter counts the connections that were opened, and those that were
+// abandoned.
+type connectionCounter struct{ count, abandoned, unacknowledged atomic.Int32 }
+
+func (cc *connectionCounter) Abandoned(_ string, unacknowledged bool) {
+	cc.abandoned.Add(1)
+	if unacknowledged {
+		cc.unacknowledged.Add(1)
+	}
+}
 
 func (cc *connectionCounter) Dialed(_ string, err error) {
 	if err == nil {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
@@ -120,7 +121,7 @@
 		p.release(c, false)
 		return reply
 	}
-	c.close()
+	p.closeConn(c)
 	replacement, err := p.dial(time.Now().Add(crashCheckTimeout))
 	switch {
 	case err == nil:
@@ -252,7 +253,7 @@
 	if !reuse || notNeeded || p.retired || p.openCount > p.max {
 		p.openCount--
 		p.mu.Unlock()
-		c.close()
+		p.closeConn(c)
 		p.notifyWaiter(nil)
 		return
 	}
@@ -266,6 +267,14 @@
 	p.notifyWaiter(c)
 }
 
+// closeConn closes a connection that was in use.
+func (p *pool) closeConn(c *conn) {
+	if c.unanswered {
+		p.client.observer.Abandoned(p.key, dial.Unacknowledged(c.Conn))
+	}
+	c.close()
+}
+
 // notifyWaiter passes a connection to the oldest waiter; a nil c tells the waiter
 // that it may open one. Without a waiter, c becomes idle or is closed.
 func (p *pool) notifyWaiter(c *conn) {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -40,10 +40,14 @@
 	started   time.Duration
 	timeLimit time.Duration
 	target    time.Duration
-	query     *query.Query
-	replies   chan timedReply
-	trace     trace
-	stages    Stages
+	// shards is the number of shards of the request.
+	shards  int
+	query   *query.Query
+	replies chan timedReply
+	trace   trace
+	stages  Stages
+	// attempts is the number of attempts that were sent.
+	attempts int
 	// done is closed when the request has ended and no more replies are read.
 	done chan struct{}
 }
@@ -79,6 +83,7 @@
 		started:   now,
 		timeLimit: timeLimit,
 		target:    target,
+		shards:    len(plan.Services),
 		replies:   make(chan timedReply, replyBufferPerShard*len(plan.Services)),
 		done:      make(chan struct{}),
 	}
@@ -149,12 +154,22 @@
 func (x *execution) serve(ctx context.Context) Answer {
 	answer := x.awaitAnswer(ctx)
 	if answer == nil {
-		x.recordRequest(result.CallerGone, &query.Answer{})
-		return Answer{Code: result.CallerGone}
+		code := callerLeftCode(x.attempts > 0)
+		x.recordRequest(code, &query.Answer{Shards: x.shards, Dispatched: x.attempts})
+		return Answer{Code: code}
 	}
 	return x.finish(answer)
 }
 
+// callerLeftCode returns the code of a request whose caller disconnected before it was
+// answered.
+func callerLeftCode(dispatched bool) result.Code {
+	if dispatched {
+		return result.Cancelled
+	}
+	return result.CallerGone
+}
+
 // awaitAnswer feeds events to the query state machine until it gives an answer.
 // It returns nil if the caller disconnected.
 func (x *execution) awaitAnswer(ctx context.Context) *query.Answer {
@@ -212,6 +227,7 @@
 }
 
 func (x *execution) sendAttempt(req dispatch.Request) {
+	x.attempts++
 	sent := x.g.cfg.Now()
 	if x.stages.Sent == 0 {
 		x.stages.Sent = sent - x.started
--- a/internal/gateway/merge.go
+++ b/internal/gateway/merge.go
@@ -53,7 +53,7 @@
 // if the caller disconnected.
 func (d *dividedQuery) finish(callerPresent bool) Answer {
 	m := d.mergeReplies()
-	out := Answer{Code: result.CallerGone}
+	out := Answer{Code: callerLeftCode(true)}
 	if callerPresent {
 		out = d.callerAnswer(&m)
 	}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -144,7 +144,8 @@
 	EndpointCrashed Code = 406
 	// ConnectionSilent: the connection went silent after the request was written.
 	ConnectionSilent Code = 407
-	// Cancelled: the attempt was cancelled after it was sent.
+	// Cancelled: the request or attempt was cancelled after it was sent, for example
+	// because the caller closed its connection.
 	Cancelled Code = 408
 	// RelayLost: the relay was lost while it had the attempt.
 	RelayLost Code = 409
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -72,7 +72,7 @@
 	{Code: StillRunning, Name: "still-running", Meaning: "The permit was dispatched and has not ended yet.", Action: "Submit the same permit again."},
 	{Code: EndpointCrashed, Name: "endpoint-crashed", Meaning: "The endpoint went away while it ran the request.", Action: "For a submit: settle it with the endpoint's owner."},
 	{Code: ConnectionSilent, Name: "connection-silent", Meaning: "The connection went silent after the request was written.", Action: "For a submit: settle it with the endpoint's owner."},
-	{Code: Cancelled, Name: "cancelled", Meaning: "The attempt was cancelled after it was sent.", Action: "None."},
+	{Code: Cancelled, Name: "cancelled", Meaning: "The request or attempt was cancelled after it was sent, for example because the caller closed its connection.", Action: "None."},
 	{Code: RelayLost, Name: "relay-lost", Meaning: "The relay was lost while it had the attempt.", Action: "Internal. If it repeats, look at the host that relays."},
 	{Code: EndpointFailed, Name: "endpoint-failed", Meaning: "The endpoint ran the request and failed.", Action: "Report it to the endpoint's owners."},
 	{Code: BadReply, Name: "bad-reply", Meaning: "The endpoint's reply broke the protocol.", Action: "Operators: check the endpoint's version."},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -132,6 +132,11 @@
 	StrayReplies  = "gypsumlug_stray_replies_total"
 	Dials         = "gypsumlug_dials_total"
 	DialsFailed   = "gypsumlug_dials_failed_total"
+	// ConnectionsAbandoned counts the connections to replicas that were closed while a
+	// request on them had no response, and ConnectionsUnacknowledged those of them on
+	// which the replica had not acknowledged the request.
+	ConnectionsAbandoned      = "gypsumlug_connections_abandoned_total"
+	ConnectionsUnacknowledged = "gypsumlug_connections_unacknowledged_total"
 	// SummariesSkipped counts answers whose summary was not logged because of the
 	// rate limit of the log.
 	SummariesSkipped = "gypsumlug_log_stories_skipped_total"
