--- /dev/null
+++ b/internal/peerlink/cancel_test.go
@@ -0,0 +1,160 @@
+package peerlink_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumlug/gypsumlug/internal/dial"
+	"github.com/gypsumlug/gypsumlug/internal/discovery"
+	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/peerlink"
+	"github.com/gypsumlug/gypsumlug/internal/split"
+)
+
+// patience bounds the waits for events that come at once on correct code.
+const patience = 10 * time.Second
+
+// blockingHandler serves a part until its context ends.
+type blockingHandler struct{ started, ended chan struct{} }
+
+func newBlockingHandler() blockingHandler {
+	return blockingHandler{started: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
+}
+
+func (h blockingHandler) ServeState(context.Context, *discovery.StateRequest) *discovery.State {
+	return &discovery.State{}
+}
+
+func (h blockingHandler) ServePart(ctx context.Context, _ *split.Request) *split.Reply {
+	h.started <- struct{}{}
+	<-ctx.Done()
+	h.ended <- struct{}{}
+	return nil
+}
+
+// Guards against work that goes on for a caller that has left: the host that serves a
+// part must end it when the host that asked for it gives up.
+func TestPartEndsWhenAskingHostCancels(t *testing.T) {
+	g := NewWithT(t)
+	h := newBlockingHandler()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	serveCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go peerlink.Serve(serveCtx, l, h)
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), partRequest(1))
+		failed <- err
+	}()
+	g.Eventually(h.started, patience).Should(Receive())
+	cancel()
+	g.Eventually(failed, patience).Should(Receive(HaveOccurred()))
+	g.Eventually(h.ended, patience).Should(Receive())
+}
+
+// Guards against starting a part that nobody waits for: a host that was suspended finds
+// the request and the end of its connection together.
+func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
+	g := NewWithT(t)
+	h := newBlockingHandler()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	c := peerlink.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial.TCP(ctx, address)
+		return cancelOnRead{Conn: conn, cancel: cancel}, err
+	})
+	_, err = c.Call(ctx, l.Addr().String(), partRequest(1))
+	g.Expect(err).To(HaveOccurred())
+	serveCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go peerlink.Serve(serveCtx, l, h)
+	served := newBlockingHandler()
+	go func() {
+		// A connection that is accepted after the first one shows that the first one
+		// was handled.
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte("not a request"))
+		_, _ = conn.Read(make([]byte, 1))
+		served.ended <- struct{}{}
+	}()
+	g.Eventually(served.ended, patience).Should(Receive())
+	g.Consistently(h.started).ShouldNot(Receive())
+}
+
+// cancelOnRead cancels a call once its request has been written.
+type cancelOnRead struct {
+	net.Conn
+	cancel context.CancelFunc
+}
+
+func (c cancelOnRead) Read(p []byte) (int, error) {
+	c.cancel()
+	return c.Conn.Read(p)
+}
+
+const (
+	// smallReceiveBuffer is the receive buffer of a host that can take only the beginning
+	// of a request. largeRequest exceeds it but fits a send buffer.
+	smallReceiveBuffer = 4 << 10
+	largeRequest       = 256 << 10
+)
+
+// Guards against the delivery of a request, by the kernel, after the asking host has
+// cancelled it.
+func TestCancelledRequestIsNotDeliveredLater(t *testing.T) {
+	g := NewWithT(t)
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
+		})
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	arrived, resume, delivered := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReaderSize(conn, 16)
+		_, _ = r.Peek(1)
+		close(arrived)
+		<-resume
+		var prefix [4]byte
+		_, err = io.ReadFull(r, prefix[:])
+		if err == nil {
+			_, err = io.CopyN(io.Discard, r, int64(binary.BigEndian.Uint32(prefix[:])))
+		}
+		delivered <- err == nil
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := make(chan error, 1)
+	go func() {
+		request := partRequest(1)
+		request.Part.Message = dispatch.Message{Body: bytes.Repeat([]byte("x"), largeRequest)}
+		_, err := peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), request)
+		failed <- err
+	}()
+	g.Eventually(arrived, patience).Should(BeClosed())
+	cancel()
+	g.Eventually(failed, patience).Should(Receive(HaveOccurred()))
+	close(resume)
+	g.Eventually(delivered, patience).Should(Receive(BeFalse()))
+}
