Discard requests that are given up before they were delivered

What callers saw: nothing; replicas worked for callers that had left.

Cause: a host that gives up an attempt closes the connection. Close leaves the bytes that the replica has not acknowledged to the kernel, which sends them again until they arrive. Once the cut ends, the replica receives the request and runs it, seconds after caller and host have gone. Parts of divided queries on their way to another host have the same fault.

Ruled out: attempts that are not cancelled. With a silent cut the work appears only at hosts that are not cut off, only for replicas behind the cut, and not without a cut.

Change: a connection with an unanswered request, or on which a call between hosts failed, is closed with a reset (dial.Abort), which makes the kernel drop what is not acknowledged.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -64,8 +64,14 @@
 	return &conn{Conn: netConn, reader: br, idleSince: time.Now(), idleChecker: dial.NewIdleChecker(netConn)}
 }
 
+// close closes the connection. If a request on it has no response, the connection is
+// reset, so that the replica does not receive the request after it was given up.
 func (c *conn) close() {
-	_ = c.Close()
+	if c.unanswered {
+		dial.Abort(c.Conn)
+	} else {
+		_ = c.Close()
+	}
 	if c.reader != nil {
 		c.reader.Reset(nil)
 		readerPool.Put(c.reader)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -147,7 +147,8 @@
 		err = readFrame(conn, &reply)
 	}
 	if err != nil {
-		_ = conn.Close()
+		// The host must not receive the request after the call has ended.
+		dial.Abort(conn)
 		return nil, err
 	}
 	c.putIdle(address, conn)
