End a part when the host that asked for it has gone

What callers saw: nothing; a divided query went on at other hosts after its caller had left, and parts of it even began then.

Cause: the caller's departure ends the calls to other hosts, which closes their connections. The host that serves a part does not look at its connection until it has a reply to write. It works on to the target and, if it was suspended or busy when the request arrived, it begins with a request that nobody waits for.

Evidence: on a scratch copy that logs every part, parts ended up to 145 ms after the caller had left; none ended with it.

Change: a part is not begun on a connection that has ended, and its context ends with the connection. Parts that end so are counted and logged as 408.

--- a/internal/dial/close.go
+++ b/internal/dial/close.go
@@ -1,6 +1,9 @@
 package dial
 
-import "net"
+import (
+	"net"
+	"syscall"
+)
 
 // Abort closes a connection with a reset. Unlike Close, it makes the kernel discard the
 // bytes that the other end has not acknowledged, so that they are not delivered later.
@@ -10,3 +13,25 @@
 	}
 	_ = netConn.Close()
 }
+
+// ClosedByPeer reports whether the other end has closed or reset a connection. It
+// neither blocks nor consumes bytes, and may be called during a Read. It reports false
+// while unread bytes precede the end, and for a connection without a file descriptor,
+// which it can't check.
+func ClosedByPeer(netConn net.Conn) bool {
+	sysConn, ok := netConn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := sysConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	_ = rawConn.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return closed
+}
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -42,10 +42,11 @@
 	exec := g.newPartExecution(r, v, route, subPlan(plan, shards), timeLimit)
 	a := exec.awaitAnswer(ctx)
 	if a == nil {
+		exec.recordPart(result.Cancelled, &query.Answer{Shards: exec.shards, Dispatched: exec.attempts})
 		return nil
 	}
 	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: exec.mergeRecords(a.Responses)}
-	exec.recordPart(a)
+	exec.recordPart(partCode(a), a)
 	for _, p := range a.Responses {
 		reply.Stamps = append(reply.Stamps, p.Stamp)
 	}
@@ -55,12 +56,16 @@
 	return reply
 }
 
-// recordPart records the end of a part of a divided query.
-func (x *execution) recordPart(a *query.Answer) {
-	code := result.Complete
+// partCode returns the code of a part that has ended with an answer.
+func partCode(a *query.Answer) result.Code {
 	if a.Covered < a.Shards {
-		code = result.Partial
+		return result.Partial
 	}
+	return result.Complete
+}
+
+// recordPart records the end of a part of a divided query.
+func (x *execution) recordPart(code result.Code, a *query.Answer) {
 	e := x.summarize(code, a)
 	e.Part = true
 	x.g.cfg.Recorder.RequestEnded(e)
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -54,6 +55,7 @@
 // Handler serves the requests of other hosts.
 type Handler interface {
 	ServeState(ctx context.Context, r *discovery.StateRequest) *discovery.State
+	// ServePart serves a part. ctx ends when the other host closes the connection.
 	ServePart(ctx context.Context, r *split.Request) *split.Reply
 }
 
@@ -81,24 +83,67 @@
 		if readFrame(conn, &request) != nil || request.Format != discovery.FormatVersion {
 			return
 		}
+		reply := handleRequest(ctx, conn, &request, h)
+		if reply == nil {
+			return
+		}
 		_ = conn.SetDeadline(time.Now().Add(replyTimeout))
-		if writeFrame(conn, handleRequest(ctx, &request, h)) != nil {
+		if writeFrame(conn, reply) != nil {
 			return
 		}
 	}
 }
 
-func handleRequest(ctx context.Context, r *Request, h Handler) *Reply {
+// handleRequest returns the reply to a request, or nil if the client has closed the
+// connection.
+func handleRequest(ctx context.Context, conn net.Conn, r *Request, h Handler) *Reply {
 	switch {
 	case r.State != nil:
 		return &Reply{State: h.ServeState(ctx, r.State)}
 	case r.Part != nil:
-		return &Reply{Part: h.ServePart(ctx, r.Part)}
+		return servePart(ctx, conn, r.Part, h)
 	default:
 		return &Reply{}
 	}
 }
 
+// servePart serves a part as long as the client keeps the connection open. It returns
+// nil if the client has closed it.
+func servePart(ctx context.Context, conn net.Conn, r *split.Request, h Handler) *Reply {
+	if dial.ClosedByPeer(conn) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
+	defer cancel()
+	stopWatch := watchClose(conn, cancel)
+	part := h.ServePart(ctx, r)
+	if stopWatch() {
+		return nil
+	}
+	return &Reply{Part: part}
+}
+
+// watchClose calls onClose when the other end closes the connection, on which it must
+// send nothing meanwhile. The returned function ends the watch and reports whether the
+// connection was closed; it can be used again only if it was not.
+func watchClose(conn net.Conn, onClose func()) (stop func() (closed bool)) {
+	_ = conn.SetReadDeadline(time.Time{})
+	ended := make(chan bool, 1)
+	go func() {
+		var buf [1]byte
+		_, err := conn.Read(buf[:])
+		closed := !errors.Is(err, os.ErrDeadlineExceeded)
+		if closed {
+			onClose()
+		}
+		ended <- closed
+	}()
+	return func() bool {
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		return <-ended
+	}
+}
+
 // Client sends requests to other hosts. It is safe for concurrent use.
 type Client struct {
 	dial dial.Func
