Do not begin a request whose caller has already left

What callers saw: nothing; their queries were begun after they had gone.

Cause: a host that is short of processor time finds a request and the end of its connection together. The HTTP server learns of the end in a goroutine of its own, and the query has sent its attempts by then. The time limit of a part for another host was worked out before the part was sent, so that a delay on the way to the connection was added to it.

The query arrived 68 ms before its caller left; two other hosts sent its attempts 0.80 s after that, in the same millisecond.

An execution looks at its context before each wait. A part's time limit is worked out when it is sent.

--- a/internal/gateway/divided_query.go
+++ b/internal/gateway/divided_query.go
@@ -129,10 +129,10 @@
 		Route:   d.route.Name,
 		Shards:  d.groups[group].shards,
 		Message: d.request.Message,
-		Target:  d.target - peerRoundTrip,
 	}
 	sentAt := d.g.cfg.Now()
 	go func() {
+		request.Target = d.partTimeLimit(peerRoundTrip)
 		reply, err := d.g.cfg.Peers.RequestPart(ctx, address, request)
 		ok := err == nil && reply != nil && reply.Code == 0
 		d.g.shared.peerRequestEnded(d.g.cfg.Now(), address, ok, err != nil && ctx.Err() != nil && !deadlineExceeded(ctx))
@@ -150,20 +150,25 @@
 	return context.Cause(ctx) == context.DeadlineExceeded
 }
 
-// serveLocally serves a group's shards from this host. The part ends early
-// enough to be merged by the target or, if it is too late for that, by the time
-// limit.
+// partTimeLimit returns the time that a part has from now on. It ends early enough,
+// by the reserve, for its reply to be merged by the target or, if it is too late for
+// that, by the time limit.
+func (d *dividedQuery) partTimeLimit(reserve time.Duration) time.Duration {
+	timeLimit := d.target - reserve - (d.g.cfg.Now() - d.started)
+	if timeLimit <= 0 {
+		timeLimit += d.timeLimit - d.target
+	}
+	return timeLimit
+}
+
+// serveLocally serves a group's shards from this host.
 func (d *dividedQuery) serveLocally(ctx context.Context, group int) {
 	s := &d.groups[group]
 	s.outstanding, s.address = true, d.g.cfg.Self.Address
 	shards := s.shards
 	sentAt := d.g.cfg.Now()
-	timeLimit := d.target - localMergeReserve - (sentAt - d.started)
-	if timeLimit <= 0 {
-		timeLimit += d.timeLimit - d.target
-	}
 	go func() {
-		reply := d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, timeLimit)
+		reply := d.g.serveShards(ctx, d.request, d.view, d.route, d.plan, shards, d.partTimeLimit(localMergeReserve))
 		d.results <- groupResult{group: group, address: d.g.cfg.Self.Address, took: d.g.cfg.Now() - sentAt, reply: reply}
 	}()
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -179,6 +179,10 @@
 	answer := x.applyActions(x.query.Start(x.started))
 	for answer == nil {
 		timer.Reset(x.query.NextTick() - x.g.cfg.Now())
+		if ctx.Err() != nil {
+			x.abort()
+			return nil
+		}
 		select {
 		case reply := <-x.replies:
 			x.traceReply(&reply)
@@ -188,15 +192,21 @@
 		case <-x.g.stopping:
 			answer = x.applyActions(x.query.Expire())
 		case <-ctx.Done():
-			if !x.request.Message.Once {
-				x.applyActions(x.query.Abort())
-			}
+			x.abort()
 			return nil
 		}
 	}
 	return answer
 }
 
+// abort cancels the attempts of a request whose caller disconnected. Attempts that must
+// run at most once are left to end by themselves.
+func (x *execution) abort() {
+	if !x.request.Message.Once {
+		x.applyActions(x.query.Abort())
+	}
+}
+
 // traceReply adds a failed reply to the trace, and the time of a successful one
 // to the stages.
 func (x *execution) traceReply(reply *timedReply) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,6 +226,9 @@
 	if route == nil {
 		return g.refuse(r, nil, result.NotFound)
 	}
+	if ctx.Err() != nil {
+		return g.refuse(r, route, result.CallerGone)
+	}
 	r.Message.Once = !route.Repeatable
 	suspicion := g.shared.suspicion(g.cfg.Now(), &r.Message)
 	if suspicion == view.Quarantined {
