Look at the caller's connection right before parts and retries are sent

The check at the start of the handler left a gap: a host that runs out of processor time between the check and the sending of the parts still sends them when it goes on.

Change: the gateway asks for the state of the caller's connection itself: before a request begins, before each part is sent, before local parts begin, and before retries and hedges. The handler's wrapper no longer does. An error for a part that was not sent for this reason does not count against the peer.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 )
 
@@ -95,9 +94,6 @@
 			if conn, ok := r.Context().Value(connContextKey{}).(*callerConn); ok {
 				conn.requestRead.Store(true)
 				conn.partialRequest.Store(false)
-				if dial.ClosedByPeer(conn.TCPConn) {
-					r = cancelledRequest(r)
-				}
 			}
 			handler.ServeHTTP(w, r)
 		}),
@@ -110,13 +106,6 @@
 	}
 }
 
-// cancelledRequest returns a copy of a request whose context has ended.
-func cancelledRequest(r *http.Request) *http.Request {
-	ctx, cancel := context.WithCancel(r.Context())
-	cancel()
-	return r.WithContext(ctx)
-}
-
 // wrapListener returns a listener whose connections are subject to the limits.
 func (c *callerServer) wrapListener(l net.Listener) net.Listener {
 	if tcp, ok := l.(*net.TCPListener); ok {
--- a/internal/entryhost/callers_test.go
+++ b/internal/entryhost/callers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/platform"
 )
 
 const testTimeout = 30 * time.Second
@@ -50,16 +50,16 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	return serveCallers(t, limits, listener, func(http.ResponseWriter, *http.Request) {})
+	return serveCallers(t, limits, listener, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 }
 
 // serveCallers serves the callers of a listener with a handler.
-func serveCallers(t *testing.T, limits routing.Limits, listener net.Listener, handler http.HandlerFunc) *testServer {
+func serveCallers(t *testing.T, limits routing.Limits, listener net.Listener, handler http.Handler) *testServer {
 	t.Helper()
 	s := &testServer{}
 	c := &callerServer{limits: func() routing.Limits { return limits }, onUnreadable: func() { s.unreadable.Add(1) }}
 	s.address = listener.Addr().String()
-	server := c.newHTTPServer(handler, func(ctx context.Context, _ net.Conn) context.Context { return ctx })
+	server := c.newHTTPServer(handler, platform.ConnContext)
 	go func() { _ = server.Serve(c.wrapListener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
@@ -113,38 +113,3 @@
 		})
 	}
 }
-
-// Guards against work for callers that had left before their request was read: a host
-// that was suspended or busy finds the request and the end of its connection together.
-func TestDepartedCallerIsNoticedBeforeWorkStarts(t *testing.T) {
-	for name, leave := range map[string]func(*net.TCPConn) error{
-		"closed": (*net.TCPConn).Close,
-		"reset": func(c *net.TCPConn) error {
-			_ = c.SetLinger(0)
-			return c.Close()
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
-			caller, err := net.Dial("tcp", listener.Addr().String())
-			g.Expect(err).NotTo(HaveOccurred())
-			_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(leave(caller.(*net.TCPConn))).To(Succeed())
-			present := make(chan bool, 1)
-			serveCallers(t, routing.Limits{HeaderTimeout: testTimeout, IdleTimeout: testTimeout}, listener, func(_ http.ResponseWriter, r *http.Request) {
-				present <- r.Context().Err() == nil
-			})
-			// A reset may discard the request, and then the handler is not called.
-			if name != "reset" {
-				var seen bool
-				g.Eventually(present, testTimeout).Should(Receive(&seen))
-				g.Expect(seen).To(BeFalse())
-				return
-			}
-			g.Consistently(present).ShouldNot(Receive(BeTrue()))
-		})
-	}
-}
--- a/internal/gateway/divided_query.go
+++ b/internal/gateway/divided_query.go
@@ -14,6 +14,9 @@
 // nothing ran there.
 var ErrNotAccepted = errors.New("peer did not accept the request")
 
+// errCallerLeft means that a part was not sent because the caller has disconnected.
+var errCallerLeft = errors.New("caller has disconnected")
+
 // PeerClient sends parts of divided queries to other hosts. A part is the work
 // for one group of shards.
 type PeerClient interface {
@@ -132,10 +135,10 @@
 	}
 	sentAt := d.g.cfg.Now()
 	go func() {
-		request.Target = d.partTimeLimit(peerRoundTrip)
-		reply, err := d.g.cfg.Peers.RequestPart(ctx, address, request)
+		reply, err := d.requestPart(ctx, address, request)
 		ok := err == nil && reply != nil && reply.Code == 0
-		d.g.shared.peerRequestEnded(d.g.cfg.Now(), address, ok, err != nil && ctx.Err() != nil && !deadlineExceeded(ctx))
+		cancelled := errors.Is(err, errCallerLeft) || err != nil && ctx.Err() != nil && !deadlineExceeded(ctx)
+		d.g.shared.peerRequestEnded(d.g.cfg.Now(), address, ok, cancelled)
 		refused := reply != nil && reply.Code != 0 || errors.Is(err, ErrNotAccepted)
 		if !ok {
 			reply = nil
@@ -145,6 +148,16 @@
 	return true
 }
 
+// requestPart sends a part to the host at the address, unless the caller has
+// disconnected meanwhile.
+func (d *dividedQuery) requestPart(ctx context.Context, address string, request *split.Request) (*split.Reply, error) {
+	if d.request.callerLeft(ctx) {
+		return nil, errCallerLeft
+	}
+	request.Target = d.partTimeLimit(peerRoundTrip)
+	return d.g.cfg.Peers.RequestPart(ctx, address, request)
+}
+
 // deadlineExceeded reports whether ctx ended because its deadline passed.
 func deadlineExceeded(ctx context.Context) bool {
 	return context.Cause(ctx) == context.DeadlineExceeded
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -179,15 +179,15 @@
 	answer := x.applyActions(x.query.Start(x.started))
 	for answer == nil {
 		timer.Reset(x.query.NextTick() - x.g.cfg.Now())
-		if ctx.Err() != nil {
-			x.abort()
-			return nil
-		}
 		select {
 		case reply := <-x.replies:
 			x.traceReply(&reply)
 			answer = x.applyActions(x.query.Reply(x.g.cfg.Now(), reply.Reply))
 		case <-timer.C:
+			if x.request.callerLeft(ctx) {
+				x.abort()
+				return nil
+			}
 			answer = x.applyActions(x.query.Tick(x.g.cfg.Now()))
 		case <-x.g.stopping:
 			answer = x.applyActions(x.query.Expire())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,16 @@
 	// CallerTimeout is how long the caller waits for an answer, or zero if the
 	// caller did not say.
 	CallerTimeout time.Duration
+	// Departed reports whether the caller has disconnected. It is asked before attempts
+	// are sent, since the request's context ends only some time after the caller has
+	// disconnected if the host is short of CPU time. If it is nil, the context alone
+	// tells.
+	Departed func() bool
+}
+
+// callerLeft reports whether the caller of a request with the context has disconnected.
+func (r *Request) callerLeft(ctx context.Context) bool {
+	return context.Cause(ctx) == context.Canceled || r.Departed != nil && r.Departed()
 }
 
 // Answer is the answer to a caller. On success, exactly one of Response and
@@ -226,7 +236,7 @@
 	if route == nil {
 		return g.refuse(r, nil, result.NotFound)
 	}
-	if ctx.Err() != nil {
+	if r.callerLeft(ctx) {
 		return g.refuse(r, route, result.CallerGone)
 	}
 	r.Message.Once = !route.Repeatable
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -40,9 +40,12 @@
 // It returns nil if ctx is cancelled.
 func (g *Gateway) serveShards(ctx context.Context, r *Request, v *routing.View, route *routing.Route, plan *routing.Plan, shards []int, timeLimit time.Duration) *split.Reply {
 	exec := g.newPartExecution(r, v, route, subPlan(plan, shards), timeLimit)
-	a := exec.awaitAnswer(ctx)
+	var a *query.Answer
+	if !r.callerLeft(ctx) {
+		a = exec.awaitAnswer(ctx)
+	}
 	if a == nil {
-		exec.recordPart(result.Cancelled, &query.Answer{Shards: exec.shards, Dispatched: exec.attempts})
+		exec.recordPart(callerLeftCode(exec.attempts > 0), &query.Answer{Shards: exec.shards, Dispatched: exec.attempts})
 		return nil
 	}
 	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: exec.mergeRecords(a.Responses)}
