Bound what is read of a response that never ends

A replica in trouble may send bytes without end, in a head or in a body, until the caller closes.

Cause: a body was bounded (4 MB), a head was not: the parser collects fields and lines of any length, and any number of informational responses, until the attempt's deadline.

Change: a head is bounded by 64 KB, informational responses before it included, and a body with its framing by twice the bound of a body. The connection is then closed and the outcome is unknown. Replies of the product's own protocol have had such a bound all along, and frames between hosts carry their length.

TestEndlessResponseIsBounded did not end before (the cases that send at once read on until the test was stopped) and passes now.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -33,7 +33,15 @@
 	closedByPeer
 )
 
-// errResponseTooLarge is returned for a body of more than maxResponseBytes.
+// maxHeadBytes bounds the bytes read for the head of a response, informational
+// responses before it included. framingFactor times maxResponseBytes bounds those for
+// its body, so that a chunked body may have that much framing.
+const (
+	maxHeadBytes  = 64 << 10
+	framingFactor = 2
+)
+
+// errResponseTooLarge is returned for a response that exceeds one of the bounds.
 var errResponseTooLarge = errors.New("response over the size limit")
 
 // idleTimeoutMargin is subtracted from the replica's idle timeout: a connection
@@ -41,9 +49,28 @@
 // replica may be about to close it.
 const idleTimeoutMargin = 300 * time.Millisecond
 
+// boundedReader reads from a connection up to an allowance.
+type boundedReader struct {
+	source io.Reader
+	// allowance is the number of bytes that may still be read.
+	allowance int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.allowance <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := r.source.Read(p[:min(len(p), r.allowance)])
+	r.allowance -= n
+	return n, err
+}
+
 // conn is one connection to a replica.
 type conn struct {
 	net.Conn
+	// source is what reader reads from.
+	source *boundedReader
 	// reader comes from readerPool; close returns it.
 	reader *bufio.Reader
 	// request is the buffer for encoded requests.
@@ -60,8 +87,9 @@
 
 func newConn(netConn net.Conn) *conn {
 	br := readerPool.Get().(*bufio.Reader)
-	br.Reset(netConn)
-	return &conn{Conn: netConn, reader: br, idleSince: time.Now(), idleChecker: dial.NewIdleChecker(netConn)}
+	source := &boundedReader{source: netConn}
+	br.Reset(source)
+	return &conn{Conn: netConn, source: source, reader: br, idleSince: time.Now(), idleChecker: dial.NewIdleChecker(netConn)}
 }
 
 // close closes the connection. If a request on it has no response, the connection is
@@ -117,6 +145,7 @@
 func (c *conn) readReply(a *attempt, codec Codec) (dispatch.Reply, connResult) {
 	res := reusable
 	for range maxStrayResponses {
+		c.source.allowance = maxHeadBytes
 		if err := c.awaitResponse(a); err != nil {
 			return c.noResponseReply(a), readErrorResult(a, err)
 		}
@@ -173,13 +202,12 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		body, err := readBody(resp)
-		if err != nil {
-			return nil, nil, err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, body, nil
+		if resp.StatusCode < http.StatusOK {
+			continue // an informational response has no body
 		}
+		c.source.allowance = framingFactor * maxResponseBytes
+		body, err := readBody(resp)
+		return resp, body, err
 	}
 }
 
