Reset abandoned connections to endpoints and relays as well

The cause of the delivery of abandoned requests was looked for elsewhere. It stands in the product's own protocols, too: a connection to an endpoint that is closed while a request has no reply, and one to a relay of which messages are reported as lost, left what was not acknowledged to the kernel. A dispatch could so reach a relay after its origin had counted it as unknown.

Both are now closed with a reset.

--- a/internal/endpointhttp/conn.go
+++ b/internal/endpointhttp/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
@@ -29,6 +30,9 @@
 	// a connection that it has just taken off the idle list.
 	commands chan command
 	openedAt time.Time
+	// awaitingReply is true from the first write of a request until its reply is
+	// complete.
+	awaitingReply bool
 	// isSearch tells whether the attempt in flight is a search.
 	isSearch atomic.Bool
 	// halfBudget is half of the budget of the attempt in flight, in nanoseconds.
@@ -87,6 +91,16 @@
 	}
 }
 
+// closeSocket closes the socket. If a request on it has no reply, the socket is reset,
+// so that the endpoint does not receive the request after it was given up.
+func (c *conn) closeSocket() {
+	if c.awaitingReply {
+		dial.Abort(c.sock.Conn)
+		return
+	}
+	_ = c.sock.Close()
+}
+
 // closeConn closes the connection. An attempt that has not been written goes back to
 // the pool, to be sent on another connection; otherwise closeConn delivers the reply.
 func (c *conn) closeConn(j *job, res jobResult) {
@@ -164,6 +178,7 @@
 	start := time.Now()
 	c.markBusy(j, start)
 	defer c.sock.progressAt.Store(0)
+	c.awaitingReply = true
 	if _, err := c.sock.Write(c.request); err != nil {
 		return c.writeErrorResult(j, err)
 	}
@@ -171,6 +186,7 @@
 	if err != nil {
 		return c.readErrorResult(j, start)
 	}
+	c.awaitingReply = false
 	c.lastReply = time.Now()
 	c.recordReply(j, start, c.lastReply)
 	return c.responseResult(j, resp)
--- a/internal/endpointhttp/pool.go
+++ b/internal/endpointhttp/pool.go
@@ -283,7 +283,7 @@
 // opens another one if needed. A broken connection is replaced only if jobs wait,
 // since the endpoint may be down.
 func (p *pool) removeConn(c *conn, finished *job, reason CloseReason) {
-	_ = c.sock.Close()
+	c.closeSocket()
 	p.mu.Lock()
 	p.finishAttemptLocked(c, finished)
 	delete(p.conns, c)
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
@@ -84,11 +85,21 @@
 	goodbye := make(chan struct{})
 	go c.readLoop(ended, goodbye)
 	reason := c.writeLoop(first, ended, goodbye)
-	c.conn.Close()
+	c.close(reason)
 	c.link.client.counters.connectionEnded(reason)
 	c.reportEnd(reason)
 }
 
+// close closes the connection. If messages may have been lost with it, it is reset, so
+// that the peer does not receive them after their loss was reported.
+func (c *connection) close(reason endReason) {
+	if reason.mayLoseMessages() {
+		dial.Abort(c.conn)
+		return
+	}
+	c.conn.Close()
+}
+
 // reportEnd fails the requests that have no answer, and reports the connection as
 // lost if messages may have been lost with it.
 func (c *connection) reportEnd(reason endReason) {
--- a/internal/peerlink/cancel_test.go
+++ b/internal/peerlink/cancel_test.go
@@ -1,13 +1,8 @@
 package peerlink_test
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/binary"
-	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +13,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/peerlink"
 	"github.com/gypsumlug/gypsumlug/internal/split"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
 // patience bounds the waits for events that come at once on correct code.
@@ -107,54 +103,21 @@
 	return c.Conn.Read(p)
 }
 
-const (
-	// smallReceiveBuffer is the receive buffer of a host that can take only the beginning
-	// of a request. largeRequest exceeds it but fits a send buffer.
-	smallReceiveBuffer = 4 << 10
-	largeRequest       = 256 << 10
-)
-
 // Guards against the delivery of a request, by the kernel, after the asking host has
 // cancelled it.
 func TestCancelledRequestIsNotDeliveredLater(t *testing.T) {
 	g := NewWithT(t)
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-		})
-	}}
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	arrived, resume, delivered := make(chan struct{}), make(chan struct{}), make(chan bool, 1)
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		r := bufio.NewReaderSize(conn, 16)
-		_, _ = r.Peek(1)
-		close(arrived)
-		<-resume
-		var prefix [4]byte
-		_, err = io.ReadFull(r, prefix[:])
-		if err == nil {
-			_, err = io.CopyN(io.Discard, r, int64(binary.BigEndian.Uint32(prefix[:])))
-		}
-		delivered <- err == nil
-	}()
+	receiver := testsuite.NewStalledReceiver(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	failed := make(chan error, 1)
 	go func() {
 		request := partRequest(1)
-		request.Part.Message = dispatch.Message{Body: bytes.Repeat([]byte("x"), largeRequest)}
-		_, err := peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), request)
+		request.Part.Message = dispatch.Message{Body: make([]byte, testsuite.StalledMessageBytes)}
+		_, err := peerlink.NewClient(dial.TCP).Call(ctx, receiver.Address, request)
 		failed <- err
 	}()
-	g.Eventually(arrived, patience).Should(BeClosed())
+	g.Eventually(receiver.Arrived, patience).Should(BeClosed())
 	cancel()
 	g.Eventually(failed, patience).Should(Receive(HaveOccurred()))
-	close(resume)
-	g.Eventually(delivered, patience).Should(Receive(BeFalse()))
+	g.Expect(receiver.Resume()).To(BeNumerically("<", testsuite.StalledMessageBytes))
 }
