Do not take queries of departed callers for failures of replicas

What callers saw: queries refused (309) after others had left early while replicas refused some parts.

Cause: a divided query tells the throttle that it failed if replicas refused some of its shards, also when it ended because its caller had left. Queries that are not divided never did.

TestDepartedCallersDoNotEngageThrottle failed before (309 for a query that all replicas would serve) and passes now.

--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -31,3 +33,30 @@
 		})
 	}
 }
+
+// Guards against taking the queries of callers that left for failures of the replicas:
+// the throttle would then refuse callers that are still there.
+func TestDepartedCallersDoNotEngageThrottle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, sender, hosts := newFleet(24, 100)
+		sender.refuse = func(string) bool { return true }
+		// The parts that this host serves end at the target of 2 s; the others don't end
+		// before the caller leaves.
+		f.delay = 3 * time.Second
+		var queries sync.WaitGroup
+		for range 20 {
+			queries.Go(func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				time.AfterFunc(2500*time.Millisecond, cancel)
+				hosts[0].Serve(ctx, &gateway.Request{Message: dispatch.Message{ID: "q", Method: "GET", Host: "x", Target: "/"}, Path: "/"})
+			})
+		}
+		queries.Wait()
+		sender.refuse, f.delay = nil, 0
+		for range 20 {
+			expectComplete(g, sendQuery(hosts[0]))
+		}
+	})
+}
--- a/internal/gateway/merge.go
+++ b/internal/gateway/merge.go
@@ -50,14 +50,14 @@
 // finish builds the answer from the replies received and records the end of the
 // request. It tells the throttle about a query that was served, and about one
 // that failed while replicas refused some of its shards. callerPresent is false
-// if the caller disconnected.
+// if the caller disconnected; how the query would have ended is then unknown.
 func (d *dividedQuery) finish(callerPresent bool) Answer {
 	m := d.mergeReplies()
 	out := Answer{Code: callerLeftCode(true)}
 	if callerPresent {
 		out = d.callerAnswer(&m)
 	}
-	if served := len(out.ShardResponses) > 0; served || m.refused {
+	if served := len(out.ShardResponses) > 0; served || m.refused && callerPresent {
 		d.g.shared.recordOutcome(d.g.cfg.Now(), d.route, served)
 	}
 	d.recordRequest(out.Code, &m)
