--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,13 +110,13 @@
 	d.coordinator.transport, d.coordinator.observe = d, d.control.observe
 }
 
-// publishView passes a new view to the relay and then to the coordinator. The
-// relay comes first, so that it knows every endpoint that the coordinator
-// dispatches to.
+// publishView passes a new view to the relay, then to the coordinator, and then to the
+// status. The relay comes first, so that it knows every endpoint that the coordinator
+// dispatches to, and the status last, so that it shows no view before it is in force.
 func (d *Daemon) publishView(v *view.View) {
-	old := d.view.Swap(v)
 	d.relay.setView(v)
 	d.coordinator.setView(v)
+	old := d.view.Swap(v)
 	d.logView(old, v)
 }
 
