--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"slices"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
@@ -90,15 +89,6 @@
 	})
 }
 
-// nextHedgeTime returns when the shard's next hedge is due, or zero if it gets no
-// more hedges.
-func (q *Query) nextHedgeTime(now time.Duration, s *shard) time.Duration {
-	if s.hedges >= q.params.Service.Hedge.Max {
-		return 0
-	}
-	return now + q.params.Replicas.HedgeDelay(q.params.Service)
-}
-
 // handleFailure handles an attempt that ended without a good reply: it retries,
 // moves to other replicas or another snapshot, or gives up.
 func (q *Query) handleFailure(now time.Duration, i int, a attempt, r *dispatch.Reply) {
@@ -134,38 +124,6 @@
 	q.scheduleRetry(now, i)
 }
 
-// RelayFault reports whether the code is a fault of the relay and not of the
-// endpoint, which may then be tried again through another relay.
-func RelayFault(code result.Code) bool {
-	switch code {
-	case result.PeerUnreachable, result.PeerQueueFull, result.Stopping, result.RelayLost:
-		return true
-	default:
-		return false
-	}
-}
-
-// isFreeRetry reports whether the retry after an attempt that ended with the code
-// takes nothing from the retry budget. Such an attempt is no sign of load: it cost
-// the endpoint no work, or the connection failed. The replica is recorded in tried
-// or withoutData, so these retries are bounded by the number of replicas, and by
-// the backoff once every replica was tried.
-func isFreeRetry(code result.Code) bool {
-	switch code {
-	case result.ConnectFailed, result.ConnectionSilent, result.SnapshotGone, result.RangeNotHeld, result.UnknownEndpoint:
-		return true
-	default:
-		return false
-	}
-}
-
-// isColdOrLeaving reports whether an endpoint refused with the code because it is
-// starting or draining, and not because of its load. The retry then takes nothing
-// from the budget if it goes to an untried replica.
-func isColdOrLeaving(code result.Code) bool {
-	return code == result.EndpointCold || code == result.EndpointLeaving
-}
-
 // giveUpAll gives up every pending shard with the given reason.
 func (q *Query) giveUpAll(code result.Code) {
 	for i := range q.shards {
@@ -175,103 +133,6 @@
 	}
 }
 
-// handleMissingData handles a shard of which no replica holds the snapshot or the
-// range. The query continues with the shard's new replicas or restarts on another
-// snapshot. If it can do neither it checks again after a backoff, since hosts learn
-// of a new index later than the endpoints.
-func (q *Query) handleMissingData(now time.Duration, i int) {
-	s := &q.shards[i]
-	if q.adoptLatestReplicas(s) {
-		q.scheduleRetry(now, i)
-		return
-	}
-	if q.restart(now) {
-		return
-	}
-	s.retryScheduled = true
-	s.retryAt = now + q.nextBackoff(s)
-}
-
-// adoptLatestReplicas takes over the replicas that the latest index assigns to the
-// shard if one of them is not known to lack the data, and reports whether it did.
-func (q *Query) adoptLatestReplicas(s *shard) bool {
-	replicas := shardReplicas(q.latestIndex(), q.snapshot.ID, s.keys)
-	for _, id := range replicas {
-		if !slices.Contains(s.withoutData, id) {
-			s.replicas = replicas
-			return true
-		}
-	}
-	return false
-}
-
-// scheduleRetry retries at once if there is an untried replica and the budget
-// allows it, else after a backoff. It gives the shard up if no retries are left.
-func (q *Query) scheduleRetry(now time.Duration, i int) {
-	s := &q.shards[i]
-	if s.reason == result.Quarantined {
-		q.giveUp(s, result.MissingQuarantined)
-		return
-	}
-	if s.retries >= q.params.Service.Retry.Max && !q.prefersCoverage() && !q.unlimitedRetries() {
-		q.giveUp(s, missingCode(s.reason))
-		return
-	}
-	s.retryScheduled = true
-	s.retryAt = now
-	if len(s.tried) >= len(s.replicas) {
-		s.retryAt = now + q.nextBackoff(s)
-	}
-	q.sendDueRetry(now, i)
-}
-
-// nextBackoff doubles the backoff of a shard within its bounds and returns it with
-// jitter.
-func (q *Query) nextBackoff(s *shard) time.Duration {
-	s.backoff = min(max(2*s.backoff, retryBackoffMin), retryBackoffMax)
-	jitter := time.Duration(q.params.Rand.Int64N(int64(s.backoff)))
-	return s.backoff/2 + jitter/2
-}
-
-// sendDueRetry sends the scheduled retry of a shard if it is due. If it cannot be
-// sent now, it is postponed or the shard is given up.
-func (q *Query) sendDueRetry(now time.Duration, i int) {
-	s := &q.shards[i]
-	if !s.retryScheduled || now < s.retryAt {
-		return
-	}
-	if q.suspect && !q.maySendSuspect(now, s) {
-		s.retryAt = now + retryBackoffMin
-		return
-	}
-	if q.tooLateForAttempt(now) {
-		s.retryAt = q.targetTime()
-		return
-	}
-	if s.noReplicaHasData() {
-		q.handleMissingData(now, i)
-		return
-	}
-	endpoint, untried, ok := q.pickRetry(now, s)
-	if !ok {
-		q.handleNoReplica(now, s)
-		return
-	}
-	free := isFreeRetry(s.reason) || untried && isColdOrLeaving(s.reason)
-	if !free && !q.params.Budgets.TakeRetry(i) {
-		q.addEvent(EventRetryDenied, s.reason)
-		if q.params.Forward != nil && !q.unlimitedRetries() {
-			q.giveUp(s, missingCode(s.reason))
-			return
-		}
-		s.retryAt = now + q.nextBackoff(s)
-		return
-	}
-	s.retries++
-	q.addEvent(EventRetry, s.reason)
-	q.sendAttempt(now, i, endpoint)
-}
-
 // attemptBudget returns the time that an endpoint has for an attempt. A forwarded
 // message with unlimited retries, which goes to several shards, is useful until its
 // target: attempts still queued at an endpoint by then would be wasted work. The
@@ -298,24 +159,6 @@
 	return q.params.Forward.Message
 }
 
-// unlimitedRetries reports whether retries are limited by backoff and not by number.
-func (q *Query) unlimitedRetries() bool {
-	return q.params.Forward != nil && q.params.Forward.UnlimitedRetries
-}
-
-// pickRetry returns the replica for a retry and whether it is untried. Untried
-// replicas are preferred; if none is eligible, all count as untried again for the
-// next retry.
-func (q *Query) pickRetry(now time.Duration, s *shard) (endpoint string, untried, ok bool) {
-	candidates := q.allowedReplicas(s)
-	if endpoint, ok := q.params.Replicas.Pick(now, candidates, slices.Concat(s.withoutData, s.tried)); ok {
-		return endpoint, true, true
-	}
-	s.tried = s.tried[:0]
-	endpoint, ok = q.params.Replicas.Pick(now, candidates, s.withoutData)
-	return endpoint, false, ok
-}
-
 // allowedReplicas returns the replicas that a further attempt at a shard may go to:
 // all of them or, once MaxReplicas is reached, only those already used.
 func (q *Query) allowedReplicas(s *shard) []string {
@@ -325,64 +168,6 @@
 	return s.replicas
 }
 
-// tickShard sends the retry or hedge of one shard if it is due. A shard with a
-// scheduled retry has no open attempt to hedge.
-func (q *Query) tickShard(now time.Duration, i int) {
-	s := &q.shards[i]
-	if s.state != shardPending {
-		return
-	}
-	if s.retryScheduled {
-		q.sendDueRetry(now, i)
-		return
-	}
-	q.sendDueHedge(now, i)
-}
-
-// sendDueHedge sends a hedge for a shard if it is due and the budget allows it.
-func (q *Query) sendDueHedge(now time.Duration, i int) {
-	s := &q.shards[i]
-	due := s.hedgeAt > 0 && now >= s.hedgeAt && len(s.openAttempts) > 0
-	if s.state != shardPending || !due || q.suspect {
-		return
-	}
-	s.hedgeAt = 0
-	if q.tooLateForAttempt(now) {
-		return
-	}
-	endpoint, ok := q.pickHedge(now, s)
-	if !ok {
-		return
-	}
-	if !q.params.Budgets.TakeHedge(i) {
-		q.addEvent(EventHedgeDenied, 0)
-		s.hedgeAt = now + q.params.Replicas.HedgeDelay(q.params.Service)
-		return
-	}
-	s.hedges++
-	q.addEvent(EventHedge, 0)
-	q.sendAttempt(now, i, endpoint)
-}
-
-// pickHedge returns the replica for a hedge. It prefers an untried replica without
-// an open attempt, then any without an open attempt. If the shard has at least two
-// open attempts and no such replica, the hedge goes to any replica on another
-// connection, since one slow attempt is little evidence that its endpoint is slow.
-func (q *Query) pickHedge(now time.Duration, s *shard) (string, bool) {
-	unsuitable := slices.Concat(s.withoutData, s.openEndpoints())
-	candidates := q.allowedReplicas(s)
-	if endpoint, ok := q.params.Replicas.Pick(now, candidates, slices.Concat(unsuitable, s.tried)); ok {
-		return endpoint, true
-	}
-	if endpoint, ok := q.params.Replicas.Pick(now, candidates, unsuitable); ok {
-		return endpoint, true
-	}
-	if len(s.openAttempts) < 2 {
-		return "", false
-	}
-	return q.params.Replicas.Pick(now, candidates, s.withoutData)
-}
-
 // cancelShardAttempts cancels the open attempts at a shard. Any of them may have run.
 func (q *Query) cancelShardAttempts(s *shard) {
 	for _, a := range s.openAttempts {
