--- a/internal/dial/close.go
+++ b/internal/dial/close.go
@@ -19,19 +19,25 @@
 // while unread bytes precede the end, and for a connection without a file descriptor,
 // which it can't check.
 func ClosedByPeer(netConn net.Conn) bool {
+	closed := false
+	withDescriptor(netConn, func(fd int) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		closed = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return closed
+}
+
+// withDescriptor calls f with the file descriptor of a connection, if it has one that is
+// open.
+func withDescriptor(netConn net.Conn, f func(fd int)) {
 	sysConn, ok := netConn.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	rawConn, err := sysConn.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	closed := false
-	_ = rawConn.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return closed
+	_ = rawConn.Control(func(fd uintptr) { f(int(fd)) })
 }
--- a/internal/dial/unacknowledged.go
+++ b/internal/dial/unacknowledged.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -11,15 +10,10 @@
 // been acknowledged by the other end. It reports false for a connection without a file
 // descriptor, which it can't check.
 func Unacknowledged(netConn net.Conn) bool {
-	sysConn, ok := netConn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := sysConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	bytes := 0
-	_ = rawConn.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err == nil && bytes > 0
+	unacknowledged := false
+	withDescriptor(netConn, func(fd int) {
+		bytes, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		unacknowledged = err == nil && bytes > 0
+	})
+	return unacknowledged
 }
