Let a large host read the store, and the host that read it before stop

Cause: the host that reads the store is chosen by a hash alone, so that one with a sixth of the processor of the large ones may serve the whole fleet.

Change: the read order is by processor, then by hash. The first in the order takes over from a smaller host that reads. A host that hears of a reader before it in the order while its own read is under way no longer goes on reading when that read ends: two hosts could read in step for good.

Where all hosts have the same processor, nothing changes but the last point.

TestLargeHostReadsTheStore failed before (a small host reads), with the new order alone (a small host that reads first goes on), and without the last change (three hosts read).

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -139,6 +139,11 @@
 	// isReader is set while this host reads the store for the others: its last read
 	// succeeded, and no host before it in the read order has claimed the role since.
 	isReader bool
+	// takesOver is set if this host is to take over reading from a smaller host.
+	takesOver bool
+	// yielded is set if a host that comes before this one in the read order has read
+	// the store since this host began its last read.
+	yielded bool
 	// staleJitter is a random delay that is added to the age from which this host
 	// reads the store, if more than maxStaleSteps hosts precede it.
 	staleJitter    time.Duration
@@ -160,7 +165,7 @@
 	m := &Machine{
 		self:      self,
 		rng:       rng,
-		members:   newMembers(self.Address),
+		members:   newMembers(self),
 		catalog:   catalog.New(),
 		hostCount: 1,
 	}
@@ -225,14 +230,26 @@
 	case h.ReplyRequested:
 		m.queueHeartbeats(m.newHeartbeat(now), []string{h.From})
 	}
-	if h.ReadsStore && m.members.precedes(h.From) {
-		m.isReader = false
+	if h.ReadsStore {
+		m.reconsiderReading(&h)
 	}
 	m.compareState(now, &h)
 	m.readStoreIfDue(now)
 	return m.takeActions()
 }
 
+// reconsiderReading handles a heartbeat of a host that reads the store. This host stops
+// reading if the other comes before it in the read order. It takes over if it is the
+// first in that order and larger than the other, which the hosts started with or which
+// took over when a large host failed.
+func (m *Machine) reconsiderReading(h *Heartbeat) {
+	if m.members.precedes(h.From) {
+		m.isReader, m.yielded = false, true
+		return
+	}
+	m.takesOver = !m.isReader && m.self.CPUPercent > h.CPUPercent && m.members.readRank() == 0
+}
+
 // configVersion returns the version of the configuration in force, or zero.
 func (m *Machine) configVersion() uint64 {
 	if m.config == nil {
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,8 +65,10 @@
 	machine *discovery.Machine
 	view    *routing.View
 	peers   []split.Peer
-	frozen  bool
-	dead    bool
+	// cpuPercent is the CPU capacity that the host announces.
+	cpuPercent int
+	frozen     bool
+	dead       bool
 }
 
 func newSimulation(n int, seed uint64) *simulation {
@@ -82,7 +86,7 @@
 // startHost starts or restarts a host with a new machine.
 func (s *simulation) startHost(h *host) {
 	seeds := []string{s.hosts[0].address, "10.9.9.9:1", s.hosts[len(s.hosts)/2].address}
-	h.machine = discovery.NewMachine(discovery.Member{Address: h.address, DataCentre: "dc", Start: s.rng.Uint64()}, seeds, s.now, rand.New(rand.NewPCG(s.rng.Uint64(), 2)))
+	h.machine = discovery.NewMachine(discovery.Member{Address: h.address, DataCentre: "dc", Start: s.rng.Uint64(), CPUPercent: h.cpuPercent}, seeds, s.now, rand.New(rand.NewPCG(s.rng.Uint64(), 2)))
 	h.view, h.dead, h.frozen = nil, false, false
 }
 
@@ -336,6 +340,41 @@
 // While the store is down, hosts back off to less than one call per second and
 // host. Within two seconds after it recovers, all hosts have the changes that were
 // made meanwhile.
+// Guards against a small host that falls behind because all others fetch each change
+// from it: the store is read by a large host while there is one.
+func TestLargeHostReadsTheStore(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimulation(20, 1)
+	large := map[string]bool{s.hosts[4].address: true, s.hosts[11].address: true}
+	for _, h := range s.hosts {
+		h.cpuPercent = 13
+		if large[h.address] {
+			h.cpuPercent = 80
+		}
+		s.startHost(h)
+	}
+	s.advance(20 * time.Second)
+	readers := map[string]int{}
+	s.storeDown = func(h *host) bool {
+		readers[h.address]++
+		return false
+	}
+	s.advance(20 * time.Second)
+	g.Expect(readers).To(HaveLen(1))
+	first := slices.Collect(maps.Keys(readers))[0]
+	g.Expect(large).To(HaveKey(first))
+	for _, h := range s.hosts {
+		h.dead = h.address == first
+	}
+	s.advance(5 * time.Second)
+	clear(readers)
+	s.advance(20 * time.Second)
+	g.Expect(readers).To(HaveLen(1))
+	second := slices.Collect(maps.Keys(readers))[0]
+	g.Expect(large).To(HaveKey(second))
+	g.Expect(second).NotTo(Equal(first))
+}
+
 func TestStoreOutage(t *testing.T) {
 	g := NewWithT(t)
 	s := newSimulation(14, 6)
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -34,8 +34,10 @@
 // members are the other known hosts. This information is advisory: no guarantee
 // to a caller depends on it.
 type members struct {
-	self  string
-	hosts map[string]*member
+	self string
+	// selfCPUPercent is this host's CPU capacity, as in Member.CPUPercent.
+	selfCPUPercent int
+	hosts          map[string]*member
 	// fleetSize is the largest recent number of hosts, including this one.
 	// fleetSizeAt is when it was last set.
 	fleetSize   int
@@ -48,8 +50,8 @@
 	heartbeatAt time.Duration
 }
 
-func newMembers(self string) *members {
-	return &members{self: self, hosts: make(map[string]*member), fleetSize: 1}
+func newMembers(self Member) *members {
+	return &members{self: self.Address, selfCPUPercent: self.CPUPercent, hosts: make(map[string]*member), fleetSize: 1}
 }
 
 // recordHeartbeat records that a host sent a heartbeat at a time. It ignores a
@@ -128,11 +130,19 @@
 	return rank
 }
 
-// precedes reports whether another host comes before this one in the read order,
-// which is by the hash of the address.
+// precedes reports whether another host comes before this one in the read order: by
+// CPU capacity, the largest first, since the other hosts fetch each change from the
+// host that reads it; and by the hash of the address.
 func (m *members) precedes(address string) bool {
-	own, other := xxhash.Sum64String(m.self), xxhash.Sum64String(address)
-	return other < own || other == own && address < m.self
+	cpuPercent := 0
+	if h := m.hosts[address]; h != nil {
+		cpuPercent = h.CPUPercent
+	}
+	return cmp.Or(
+		cmp.Compare(m.selfCPUPercent, cpuPercent),
+		cmp.Compare(xxhash.Sum64String(address), xxhash.Sum64String(m.self)),
+		cmp.Compare(address, m.self),
+	) < 0
 }
 
 // sampleMembers returns the members to include in a heartbeat: those with the
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -8,6 +8,7 @@
 // HandleReadResult handles the result of a read of the store.
 func (m *Machine) HandleReadResult(now time.Duration, r ReadResult) Actions {
 	m.readInFlight = false
+	m.takesOver = false
 	if r.Err != nil {
 		m.handleReadFailure(now, r.Err)
 		return m.takeActions()
@@ -16,7 +17,7 @@
 		m.recordChange(Change{Kind: ChangeStoreRecovered, Source: sourceStore})
 	}
 	m.readFailures = 0
-	m.isReader = true
+	m.isReader = !m.yielded
 	m.nextRead = now + readPause
 	changed := m.adoptConfig(r.Config, sourceStore)
 	if r.Request.After == 0 {
@@ -62,7 +63,7 @@
 	if m.readInFlight || now < m.nextRead || now < m.nextTurn() {
 		return
 	}
-	m.readInFlight = true
+	m.readInFlight, m.yielded = true, false
 	read := &ReadRequest{After: m.catalog.ResumeRevision()}
 	if read.After > 0 {
 		read.Wait = changeWait
@@ -71,14 +72,14 @@
 }
 
 // nextTurn returns the time from which this host is to read the store. It is zero,
-// which means immediately, if this host has no state or is the reader. Otherwise it
+// which means immediately, if this host has no state or is to read it. Otherwise it
 // is the time at which its state is so old that the hosts before it in the read
 // order appear to have failed.
 func (m *Machine) nextTurn() time.Duration {
 	if !m.catalog.Loaded() || m.config == nil {
 		return 0
 	}
-	if m.isReader {
+	if m.isReader || m.takesOver {
 		return 0
 	}
 	delay := staleAfter + time.Duration(min(m.members.readRank(), maxStaleSteps))*staleStep
