Retry a takeover of the store's reading slowly

A large host that the store turns away, while a smaller one reads, tried again every 0.3 to 0.9 s, as the first host of the read order does when nobody reads. It now backs off up to 2.5 s (with jitter), like any other host.

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -22,8 +22,8 @@
 	// again, so that a read returns several changes at once.
 	readPause = 120 * time.Millisecond
 	// staleAfter is the age of its state at which the first host of the read order
-	// starts to read the store. The read order is by the hash of the address. Each
-	// next host starts staleStep later than the one before it, up to maxStaleSteps
+	// starts to read the store. The read order is by CPU capacity, then by the hash of
+	// the address. Each next host starts staleStep later than the one before it, up to maxStaleSteps
 	// steps. The hosts further back start a random time of less than staleSpread
 	// after that.
 	staleAfter    = 950 * time.Millisecond
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -7,10 +7,10 @@
 
 // HandleReadResult handles the result of a read of the store.
 func (m *Machine) HandleReadResult(now time.Duration, r ReadResult) Actions {
-	m.readInFlight = false
-	m.takesOver = false
+	tookOver := m.takesOver
+	m.readInFlight, m.takesOver = false, false
 	if r.Err != nil {
-		m.handleReadFailure(now, r.Err)
+		m.handleReadFailure(now, r.Err, tookOver)
 		return m.takeActions()
 	}
 	if m.readFailures > 0 {
@@ -38,7 +38,8 @@
 
 // handleReadFailure schedules the next read after a failure: with backoff and
 // jitter, or immediately a full one if the changes are no longer in the store.
-func (m *Machine) handleReadFailure(now time.Duration, err error) {
+// tookOver means that another host reads the store, so that there is no hurry.
+func (m *Machine) handleReadFailure(now time.Duration, err error, tookOver bool) {
 	if m.readFailures == 0 {
 		m.recordChange(Change{Kind: ChangeStoreFailed, Source: sourceStore, Err: err})
 	}
@@ -51,7 +52,7 @@
 		return
 	}
 	maxBackoff := maxReadRetry
-	if m.members.readRank() < fastRetryHosts {
+	if m.members.readRank() < fastRetryHosts && !tookOver {
 		maxBackoff = 2 * minReadRetry
 	}
 	backoff := min(minReadRetry<<min(m.readFailures-1, 4), maxBackoff)
