--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -23,9 +23,9 @@
 	readPause = 120 * time.Millisecond
 	// staleAfter is the age of its state at which the first host of the read order
 	// starts to read the store. The read order is by CPU capacity, then by the hash of
-	// the address. Each next host starts staleStep later than the one before it, up to maxStaleSteps
-	// steps. The hosts further back start a random time of less than staleSpread
-	// after that.
+	// the address. Each next host starts staleStep later than the one before it, up to
+	// maxStaleSteps steps. The hosts further back start a random time of less than
+	// staleSpread after that.
 	staleAfter    = 950 * time.Millisecond
 	staleStep     = 40 * time.Millisecond
 	maxStaleSteps = 12
