Look at the caller right before an attempt is written

What callers saw: nothing; their requests went on to replicas after they had left.

Cause: the last look at the caller's connection came before the last wait. An attempt then waits for a connection to a slow replica, or for a new one to open. Others were written if the host noticed the end of the dial before the end of the caller's connection. A retry that follows a reply had no look at all.

Change: an attempt carries the question whether its caller has left, and the goroutine that writes it asks right before the write. The attempt is refused then (323), and its connection stays good. The gateway looks before it acts on a reply that is no success.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -189,7 +189,7 @@
 		t.recordLatency(now, a, took)
 	case reply.Code == result.EndpointShed:
 		r.recordRefusal(now, 1)
-	case reply.Code == result.Cancelled || reply.Code == result.CancelledBeforeSend:
+	case reply.Code == result.Cancelled || reply.Code == result.CancelledBeforeSend || reply.Code == result.CallerGone:
 		t.recordMinLatency(now, a, took)
 	case reply.Code == result.UnknownEndpoint:
 		r.gone = true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,6 +54,10 @@
 	// Message is a caller's HTTP request that is forwarded unchanged instead of
 	// Body. It is not sent to other hosts as part of a Request.
 	Message *Message `msgpack:"-"`
+	// Departed reports whether the caller has disconnected. It is asked right before
+	// the request is written, which is refused then with result.CallerGone. It may be
+	// nil, and is not sent to other hosts.
+	Departed func() bool `msgpack:"-"`
 }
 
 // Field is one header field.
--- a/internal/entryhost/departed_test.go
+++ b/internal/entryhost/departed_test.go
@@ -32,7 +32,8 @@
 func (codeRecorder) QueryEvent(query.Event)                  {}
 func (codeRecorder) SuspectChanged(s gateway.SuspectChange)  {}
 
-// newIndexGateway returns a gateway with a route to an index of two shards.
+// newIndexGateway returns a gateway with a route to an index of two shards, with two
+// replicas each.
 func newIndexGateway(sender gateway.Sender, recorder gateway.Recorder) *gateway.Gateway {
 	started := time.Now()
 	g := gateway.New(gateway.Config{
@@ -49,7 +50,9 @@
 	config.IndexRoutes()
 	g.SetView(routing.NewView(config, []*routing.Replica{
 		{ID: "1", Service: "a", Address: "127.0.0.1:1", Slots: 2},
-		{ID: "2", Service: "b", Address: "127.0.0.1:2", Slots: 2},
+		{ID: "2", Service: "a", Address: "127.0.0.1:2", Slots: 2},
+		{ID: "3", Service: "b", Address: "127.0.0.1:3", Slots: 2},
+		{ID: "4", Service: "b", Address: "127.0.0.1:4", Slots: 2},
 	}, 0))
 	return g
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -128,6 +128,9 @@
 		return a.req.RefusedReply(result.ExpiredBeforeSend), reusable
 	}
 	c.request = codec.Encode(c.request[:0], &a.req, remaining)
+	if a.req.Departed != nil && a.req.Departed() {
+		return a.req.RefusedReply(result.CallerGone), reusable
+	}
 	c.unanswered = true
 	n, err := c.Write(c.request)
 	if err != nil {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -41,6 +41,9 @@
 	stages  Stages
 	// attempts is the number of attempts that were sent.
 	attempts int
+	// callerLeft reports whether the caller, or the host that sent the part, has
+	// disconnected.
+	callerLeft func() bool
 	// done is closed when the request has ended and no more replies are read.
 	done chan struct{}
 }
@@ -125,6 +128,7 @@
 // It returns nil if the caller disconnected.
 func (x *execution) awaitAnswer(ctx context.Context) *query.Answer {
 	defer close(x.done)
+	x.callerLeft = func() bool { return x.request.callerLeft(ctx) }
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	answer := x.applyActions(x.query.Start(x.started))
@@ -133,9 +137,13 @@
 		select {
 		case reply := <-x.replies:
 			x.traceReply(&reply)
+			if reply.Outcome != dispatch.OK && x.callerLeft() {
+				x.abort()
+				return nil
+			}
 			answer = x.applyActions(x.query.Reply(x.g.cfg.Now(), reply.Reply))
 		case <-timer.C:
-			if x.request.callerLeft(ctx) {
+			if x.callerLeft() {
 				x.abort()
 				return nil
 			}
@@ -151,7 +159,8 @@
 }
 
 // abort cancels the attempts of a request whose caller disconnected. Attempts that must
-// run at most once are left to end by themselves.
+// run at most once are left to end by themselves; those that wait for a connection are
+// refused when it is their turn.
 func (x *execution) abort() {
 	if !x.request.Message.Once {
 		x.applyActions(x.query.Abort())
@@ -189,6 +198,7 @@
 
 func (x *execution) sendAttempt(req dispatch.Request) {
 	x.attempts++
+	req.Departed = x.callerLeft
 	sent := x.g.cfg.Now()
 	if x.stages.Sent == 0 {
 		x.stages.Sent = sent - x.started
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -78,7 +78,8 @@
 	AllRefused Code = 321
 	// NoReplica: no eligible replica is known.
 	NoReplica Code = 322
-	// CallerGone: the caller closed its connection before anything was dispatched.
+	// CallerGone: the caller closed its connection before anything was dispatched. As the
+	// code of an attempt: before it was written.
 	CallerGone Code = 323
 	// NotRepeatable: the operation does not fit the service: it takes submits and no queries, or the reverse.
 	NotRepeatable Code = 324
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -39,7 +39,7 @@
 	{Code: Quarantined, Name: "quarantined", Meaning: "The request is quarantined because it crashed endpoints.", Action: "Change the request."},
 	{Code: AllRefused, Name: "all-refused", Meaning: "Every eligible endpoint refused before starting.", Action: "Retry later."},
 	{Code: NoReplica, Name: "no-replica", Meaning: "No eligible replica is known.", Action: "Retry later; operators: check the endpoints."},
-	{Code: CallerGone, Name: "caller-gone", Meaning: "The caller closed its connection before anything was dispatched.", Action: "None."},
+	{Code: CallerGone, Name: "caller-gone", Meaning: "The caller closed its connection before anything was dispatched. As the code of an attempt: before it was written.", Action: "None."},
 	{Code: NotRepeatable, Name: "not-repeatable", Meaning: "The operation does not fit the service: it takes submits and no queries, or the reverse.", Action: "Use the other operation."},
 	{Code: MethodNotAllowed, Name: "method-not-allowed", Meaning: "The path does not take this method.", Action: "See docs/API.md."},
 	{Code: NotFound, Name: "not-found", Meaning: "The path or object does not exist.", Action: "See docs/API.md."},
