Look at the asking host's connection right before attempts of a part are written

A part was sent after the wait for a connection to the other host without another look, and the other host looked at the connection once, before the part began. An error of a part whose caller had left could count against the host that it was sent to.

Change: the part is not sent if its caller has left when the connection is there, and the connection is kept. The host that serves it looks at the connection to the asking host right before it writes each attempt, and before retries and hedges, as it does for callers.

Tests: TestCallerThatLeftDuringDialCausesNoPart and TestPartTellsWhetherAskingHostHasDeparted; they use a field that is new, and fail with either look taken out.

--- a/internal/gateway/divided_query.go
+++ b/internal/gateway/divided_query.go
@@ -22,7 +22,7 @@
 type PeerClient interface {
 	// RequestPart sends a part to the host at the address. An error means that
 	// no reply came; it is ErrNotAccepted if the request certainly did not
-	// reach the host.
+	// reach the host, as when r.Departed reports true before it is sent.
 	RequestPart(ctx context.Context, address string, r *split.Request) (*split.Reply, error)
 }
 
@@ -149,13 +149,18 @@
 }
 
 // requestPart sends a part to the host at the address, unless the caller has
-// disconnected meanwhile.
+// disconnected meanwhile. If it has, the error says nothing about the host.
 func (d *dividedQuery) requestPart(ctx context.Context, address string, request *split.Request) (*split.Reply, error) {
 	if d.request.callerLeft(ctx) {
 		return nil, errCallerLeft
 	}
 	request.Target = d.partTimeLimit(peerRoundTrip)
-	return d.g.cfg.Peers.RequestPart(ctx, address, request)
+	request.Departed = func() bool { return d.request.callerLeft(ctx) }
+	reply, err := d.g.cfg.Peers.RequestPart(ctx, address, request)
+	if err != nil && request.Departed() {
+		return nil, errCallerLeft
+	}
+	return reply, err
 }
 
 // deadlineExceeded reports whether ctx ended because its deadline passed.
--- a/internal/peerlink/cancel_test.go
+++ b/internal/peerlink/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,3 +122,67 @@
 	g.Eventually(failed, patience).Should(Receive(HaveOccurred()))
 	g.Expect(receiver.Resume()).To(BeNumerically("<", testsuite.StalledMessageBytes))
 }
+
+// Guards against a part that is sent although its caller left while the connection to
+// the host was opened.
+func TestCallerThatLeftDuringDialCausesNoPart(t *testing.T) {
+	g := NewWithT(t)
+	h := newBlockingHandler()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	serveCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go peerlink.Serve(serveCtx, l, h)
+	var left atomic.Bool
+	c := peerlink.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial.TCP(ctx, address)
+		left.Store(true)
+		return conn, err
+	})
+	request := partRequest(1)
+	request.Part.Departed = left.Load
+	_, err = c.Call(context.Background(), l.Addr().String(), request)
+	g.Expect(err).To(MatchError(peerlink.ErrNotSent))
+	// The connection is still good: the next part on it is served.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _, _ = c.Call(ctx, l.Addr().String(), partRequest(1)) }()
+	g.Eventually(h.started, patience).Should(Receive())
+	g.Expect(h.started).NotTo(Receive())
+}
+
+// departureHandler reports, for a part that goes on, when the host that asked for it is
+// found to have closed the connection.
+type departureHandler struct {
+	blockingHandler
+	present, departed chan struct{}
+}
+
+func (h departureHandler) ServePart(_ context.Context, r *split.Request) *split.Reply {
+	if !r.Departed() {
+		h.present <- struct{}{}
+	}
+	for !r.Departed() {
+		time.Sleep(time.Millisecond)
+	}
+	h.departed <- struct{}{}
+	return nil
+}
+
+// Guards against attempts of a part whose asking host has closed the connection, before
+// the context of the part has ended: they are written after a look at the connection.
+func TestPartTellsWhetherAskingHostHasDeparted(t *testing.T) {
+	g := NewWithT(t)
+	h := departureHandler{present: make(chan struct{}, 1), departed: make(chan struct{}, 1)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	serveCtx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go peerlink.Serve(serveCtx, l, h)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _, _ = peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), partRequest(1)) }()
+	g.Eventually(h.present, patience).Should(Receive())
+	g.Consistently(h.departed).ShouldNot(Receive())
+	cancel()
+	g.Eventually(h.departed, patience).Should(Receive())
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -46,6 +46,11 @@
 	Part   *split.Request          `msgpack:"p"`
 }
 
+// departed reports whether the caller of a part has disconnected.
+func (r *Request) departed() bool {
+	return r.Part != nil && r.Part.Departed != nil && r.Part.Departed()
+}
+
 // Reply answers a Request. The field with the same name as in the request is set.
 type Reply struct {
 	State *discovery.State `msgpack:"s"`
@@ -110,7 +115,8 @@
 // servePart serves a part as long as the client keeps the connection open. It returns
 // nil if the client has closed it.
 func servePart(ctx context.Context, conn net.Conn, r *split.Request, h Handler) *Reply {
-	if dial.ClosedByPeer(conn) {
+	r.Departed = func() bool { return dial.ClosedByPeer(conn) }
+	if r.Departed() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
@@ -166,7 +172,8 @@
 var ErrNotSent = errors.New("peer not reached")
 
 // Call sends a request to a host and returns its reply. It does not retry. The error
-// wraps ErrNotSent if no connection could be opened.
+// wraps ErrNotSent if no connection could be opened, or if the caller of a part has
+// disconnected by then.
 func (c *Client) Call(ctx context.Context, address string, r *Request) (*Reply, error) {
 	conn := c.takeIdle(address)
 	if conn == nil {
@@ -175,6 +182,10 @@
 			return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 		}
 	}
+	if r.departed() {
+		c.putIdle(address, conn)
+		return nil, ErrNotSent
+	}
 	return c.exchange(ctx, address, conn, r)
 }
 
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -55,6 +55,10 @@
 	Message dispatch.Message `msgpack:"m"`
 	// Target is the time within which the reply is useful.
 	Target time.Duration `msgpack:"t"`
+	// Departed reports, at the sending host, whether the caller has disconnected, and
+	// at the receiving host, whether the sending host has closed the connection. It may
+	// be nil, and is not sent.
+	Departed func() bool `msgpack:"-"`
 }
 
 // Reply is the result of a Request.
