Wait for parts to end before a test changes how peers behave

TestDepartedCallersDoNotEngageThrottle changed fields of its fleet while parts of queries whose callers had left still read them: the race detector reported a data race in 5 of 85 runs, most of them beside nine others. The parts end after their query. The product's code is not affected.

--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -54,6 +54,7 @@
 			})
 		}
 		queries.Wait()
+		synctest.Wait() // The parts end after their query.
 		sender.refuse, f.delay = nil, 0
 		for range 20 {
 			expectComplete(g, sendQuery(hosts[0]))
