--- a/internal/peerlink/cancel_test.go
+++ b/internal/peerlink/cancel_test.go
@@ -38,20 +38,28 @@
 	return nil
 }
 
+// startServer serves the requests of other hosts with h until the test ends, and returns
+// its address.
+func startServer(t *testing.T, h peerlink.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go peerlink.Serve(ctx, l, h)
+	return l.Addr().String()
+}
+
 // Guards against work that goes on for a caller that has left: the host that serves a
 // part must end it when the host that asked for it gives up.
 func TestPartEndsWhenAskingHostCancels(t *testing.T) {
 	g := NewWithT(t)
 	h := newBlockingHandler()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	serveCtx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go peerlink.Serve(serveCtx, l, h)
+	address := startServer(t, h)
 	ctx, cancel := context.WithCancel(context.Background())
 	failed := make(chan error, 1)
 	go func() {
-		_, err := peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), partRequest(1))
+		_, err := peerlink.NewClient(dial.TCP).Call(ctx, address, partRequest(1))
 		failed <- err
 	}()
 	g.Eventually(h.started, patience).Should(Receive())
@@ -128,11 +136,7 @@
 func TestCallerThatLeftDuringDialCausesNoPart(t *testing.T) {
 	g := NewWithT(t)
 	h := newBlockingHandler()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	serveCtx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go peerlink.Serve(serveCtx, l, h)
+	address := startServer(t, h)
 	var left atomic.Bool
 	c := peerlink.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dial.TCP(ctx, address)
@@ -141,12 +145,12 @@
 	})
 	request := partRequest(1)
 	request.Part.Departed = left.Load
-	_, err = c.Call(context.Background(), l.Addr().String(), request)
+	_, err := c.Call(context.Background(), address, request)
 	g.Expect(err).To(MatchError(peerlink.ErrNotSent))
 	// The connection is still good: the next part on it is served.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() { _, _ = c.Call(ctx, l.Addr().String(), partRequest(1)) }()
+	go func() { _, _ = c.Call(ctx, address, partRequest(1)) }()
 	g.Eventually(h.started, patience).Should(Receive())
 	g.Expect(h.started).NotTo(Receive())
 }
@@ -174,13 +178,9 @@
 func TestPartTellsWhetherAskingHostHasDeparted(t *testing.T) {
 	g := NewWithT(t)
 	h := departureHandler{present: make(chan struct{}, 1), departed: make(chan struct{}, 1)}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	serveCtx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go peerlink.Serve(serveCtx, l, h)
+	address := startServer(t, h)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _, _ = peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), partRequest(1)) }()
+	go func() { _, _ = peerlink.NewClient(dial.TCP).Call(ctx, address, partRequest(1)) }()
 	g.Eventually(h.present, patience).Should(Receive())
 	g.Consistently(h.departed).ShouldNot(Receive())
 	cancel()
