End a host that cannot listen for its peers

What callers and operators saw: a host whose peer address is taken ran on. It never became ready, and SIGTERM did not end it: it waited to announce its leaving to the agent, which had ended with an error in the log.

Class: a component that fails at the start is logged and passed over. Ruled out: a signal that was lost (the process had handlers for all and none pending).

Change: the sockets for peers are opened before the host serves anybody, and Run returns the error, as it does for its other addresses.

--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -72,27 +72,28 @@
 	machine   *discovery.Machine
 	events    chan func(now time.Duration) discovery.Actions
 	socket    *net.UDPConn
+	listener  net.Listener
 	view      *routing.View
 	hostCount int
 }
 
-// New returns an agent; Run starts it.
+// New returns an agent. Listen opens its sockets, and Run starts it.
 func New(opts Options, machine *discovery.Machine) *Agent {
 	return &Agent{opts: opts, machine: machine, events: make(chan func(time.Duration) discovery.Actions), hostCount: 1}
 }
 
-// Run drives the machine until ctx ends.
-func (a *Agent) Run(ctx context.Context) error {
-	if err := a.listen(ctx); err != nil {
-		return err
-	}
+// Run serves peers and drives the machine until ctx ends. Listen must have been called.
+func (a *Agent) Run(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = a.socket.Close() })
+	go a.receiveHeartbeats(ctx)
+	go peerlink.Serve(ctx, a.listener, a)
 	ticker := time.NewTicker(discovery.TickInterval)
 	defer ticker.Stop()
 	a.execute(ctx, a.machine.Tick(a.opts.Now()))
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case event := <-a.events:
 			a.execute(ctx, event(a.opts.Now()))
 		case <-ticker.C:
--- a/internal/discoveryagent/transport.go
+++ b/internal/discoveryagent/transport.go
@@ -19,9 +19,8 @@
 
 var errNoState = errors.New("peer's reply has no state")
 
-// listen opens the UDP socket and the TCP listener, and starts to handle the
-// heartbeats and requests of peers.
-func (a *Agent) listen(ctx context.Context) error {
+// Listen opens the UDP socket and the TCP listener for peers.
+func (a *Agent) Listen() error {
 	address, err := net.ResolveUDPAddr("udp", a.opts.PeerAddress)
 	if err != nil {
 		return eris.Wrap(err, "resolve peer address")
@@ -29,13 +28,10 @@
 	if a.socket, err = net.ListenUDP("udp", address); err != nil {
 		return eris.Wrap(err, "listen for heartbeats")
 	}
-	listener, err := net.Listen("tcp", a.opts.PeerAddress)
-	if err != nil {
+	if a.listener, err = net.Listen("tcp", a.opts.PeerAddress); err != nil {
+		_ = a.socket.Close()
 		return eris.Wrap(err, "listen for peers")
 	}
-	context.AfterFunc(ctx, func() { _ = a.socket.Close() })
-	go a.receiveHeartbeats(ctx)
-	go peerlink.Serve(ctx, listener, a)
 	return nil
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -149,7 +149,8 @@
 // now returns the monotonic time since the start of the process.
 func (h *Host) now() time.Duration { return time.Since(h.started) }
 
-// Run serves requests until stop is closed, and then shuts down gracefully.
+// Run serves requests until stop is closed, and then shuts down gracefully. It returns an
+// error at once if it cannot listen on one of its addresses.
 func (h *Host) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -157,17 +158,17 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
+	if err := h.agent.Listen(); err != nil {
+		_ = listener.Close()
+		return err
+	}
 	if err := h.serveInternal(); err != nil {
 		return err
 	}
 	callers := &callerServer{limits: h.limits, onUnreadable: func() { h.gateway.Refuse("", result.RequestUnreadable) }}
 	server := callers.newHTTPServer(&platform.Ingress{Gateway: h.gateway, Closing: h.stopping.Load}, platform.ConnContext)
 	go func() { _ = server.Serve(callers.wrapListener(listener)) }()
-	go func() {
-		if err := h.agent.Run(ctx); err != nil {
-			h.log.Error().Err(err).Msg("cannot serve requests from peers")
-		}
-	}()
+	go h.agent.Run(ctx)
 	h.log.Info().Str("data_centre", h.settings.Load().DataCentre).Str("version", version.String()).Msg("started")
 	<-stop
 	h.agent.Leave(ctx)
