Encode a configuration once for all hosts that ask for it

Cause (the open half of a host that is late): when the configuration changes, the host that reads the store announces it to all others, and each of them asks it for its state. It encoded the configuration anew for each.

Change: a configuration that is put in force is wrapped for sending, and the wrapper keeps the encoding, made at the first request. The bytes are those of before.

--- a/internal/discoveryagent/transport.go
+++ b/internal/discoveryagent/transport.go
@@ -101,8 +101,8 @@
 	if reply.State == nil {
 		return nil, errNoState
 	}
-	if reply.State.Config != nil {
-		reply.State.Config.IndexRoutes()
+	if c := reply.State.Config.Value(); c != nil {
+		c.IndexRoutes()
 	}
 	return reply.State, nil
 }
