Cancel a peer's searches when its connection is lost

The same cause in the product's own protocol: a relay learns of a cancelled query by a message. If the connection is lost with it, the origin has given up all attempts that it sent over the connection, but the relay went on with them until their budget ended. The relay's machine had an event for that, which nothing called outside of tests; it also drops submits, whose outcome an origin still records from a late reply.

Change: the peer server reports the end of a peer's last connection if messages may have been lost with it: the peer resets it then, and closes it otherwise. The relay cancels the searches of that peer and leaves its submits alone. The report comes before any message of a new connection.

Not covered: an origin that is killed, whose connection ends as if it were closed.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/peer"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/relay"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
@@ -40,6 +41,12 @@
 // Cancel implements peer.Handler.
 func (h peerHandler) Cancel(from string, m peerwire.Cancel) { h.d.relay.cancel(from, m.Cancels) }
 
+// ConnectionLost implements peer.Handler. The peer has given up the attempts that it sent
+// over the connection, and a cancellation may have been lost with it.
+func (h peerHandler) ConnectionLost(from string) {
+	h.d.relay.step(func(now time.Duration) relay.Actions { return h.d.relay.machine.CancelSearches(now, from) })
+}
+
 // Manifest implements peer.Handler.
 func (h peerHandler) Manifest(ctx context.Context, _ string) peerwire.Manifest {
 	var out peerwire.Manifest
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -104,6 +104,9 @@
 	Dispatch(from string, m peerwire.Dispatch)
 	Replies(from string, m peerwire.Replies)
 	Cancel(from string, m peerwire.Cancel)
+	// ConnectionLost is called when messages may have been lost with the last
+	// connection from a peer, and before any message that comes over a new one.
+	ConnectionLost(from string)
 	Manifest(ctx context.Context, from string) peerwire.Manifest
 	Document(ctx context.Context, from string, m peerwire.DocumentRequest) peerwire.Document
 	Submit(ctx context.Context, from string, m peerwire.Submit) peerwire.SubmitAnswer
--- a/internal/peer/fake_test.go
+++ b/internal/peer/fake_test.go
@@ -26,6 +26,7 @@
 	mu             sync.Mutex
 	received       []any
 	from           map[string]bool
+	lost           []string
 	releaseSubmits chan struct{}
 }
 
@@ -50,6 +51,18 @@
 func (h *fakeHandler) Replies(from string, m peerwire.Replies)     { h.record(from, m) }
 func (h *fakeHandler) Cancel(from string, m peerwire.Cancel)       { h.record(from, m) }
 
+func (h *fakeHandler) ConnectionLost(from string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lost = append(h.lost, from)
+}
+
+func (h *fakeHandler) lostPeers() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.lost...)
+}
+
 func (h *fakeHandler) Manifest(_ context.Context, _ string) peerwire.Manifest {
 	return peerwire.Manifest{Data: []byte("manifest")}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,8 +26,10 @@
 	mu       sync.Mutex
 	listener net.Listener
 	sessions map[*session]struct{}
-	stopping bool
-	running  sync.WaitGroup
+	// sessionsByPeer counts the sessions of each peer that have exchanged hellos.
+	sessionsByPeer map[string]int
+	stopping       bool
+	running        sync.WaitGroup
 }
 
 // NewServer returns a server that is not yet listening.
@@ -41,6 +43,8 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		sessions: make(map[*session]struct{}),
+
+		sessionsByPeer: make(map[string]int),
 	}
 }
 
@@ -104,6 +108,29 @@
 	delete(s.sessions, c)
 }
 
+// peerConnected counts a session that has exchanged hellos with a peer.
+func (s *Server) peerConnected(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessionsByPeer[peer]++
+}
+
+// peerDisconnected ends the count of a session. If it was the last one of the peer, and
+// messages may have been lost with it, the handler is told. mu is held meanwhile, so
+// that the messages of a new session come later.
+func (s *Server) peerDisconnected(peer string, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sessionsByPeer[peer]--
+	if s.sessionsByPeer[peer] > 0 {
+		return
+	}
+	delete(s.sessionsByPeer, peer)
+	if lost && s.ctx.Err() == nil {
+		s.handler.ConnectionLost(peer)
+	}
+}
+
 // Shutdown stops accepting connections and sends a goodbye to every connected peer. It
 // handles the messages that peers sent before they received the goodbye, and waits
 // until all requests are answered. If ctx is done first, it closes the remaining
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -49,14 +49,22 @@
 		return
 	}
 	c.server.counters.connectionOpened()
+	c.server.peerConnected(c.from)
+	err := c.handleFrames()
+	c.countError(err)
+	// A peer that may have lost messages resets the connection; otherwise it closes it.
+	c.server.peerDisconnected(c.from, !errors.Is(err, io.EOF))
+	c.running.Wait()
+	c.server.counters.connectionEnded(endClosed)
+}
+
+// handleFrames handles frames until the connection ends, and returns the reason.
+func (c *session) handleFrames() error {
 	for {
 		if err := c.handleNextFrame(); err != nil {
-			c.countError(err)
-			break
+			return err
 		}
 	}
-	c.running.Wait()
-	c.server.counters.connectionEnded(endClosed)
 }
 
 // countError counts the error that ended a connection, unless the peer closed it
--- a/internal/relay/fault_test.go
+++ b/internal/relay/fault_test.go
@@ -220,6 +220,30 @@
 		Entry("origin lost", func(string) { h.apply(h.machine.OriginLost(h.now, "p")) }),
 		Entry("wait limit exceeded", func(string) { h.advance(suspectWait) }),
 	)
+	It("cancels the searches of an origin, and neither its submits nor those of others", func() {
+		search := func(origin, id string, operation dispatch.Operation) {
+			h.origins[id] = origin
+			h.apply(h.machine.Dispatch(h.now, origin, []dispatch.Request{{
+				Key: dispatch.Key{Request: id, Attempt: 1}, Operation: operation, Service: "desk", Endpoint: "e0", Body: id, Budget: time.Minute,
+			}}))
+		}
+		search("p", "running", dispatch.Search)
+		search("p", "submit", dispatch.Submit)
+		search("p", "waiting", dispatch.Search)
+		search("other", "of another origin", dispatch.Search)
+		actions := h.machine.CancelSearches(h.now, "p")
+		aborted := []string{}
+		for _, c := range actions.Abort {
+			aborted = append(aborted, c.Key.Request)
+		}
+		refused := []string{}
+		for _, r := range actions.Replies {
+			Expect(r.Reply.Code).To(Equal(result.CancelledBeforeSend))
+			refused = append(refused, r.Reply.Key.Request)
+		}
+		Expect(append(aborted, refused...)).To(ConsistOf("running", "waiting"))
+		Expect(h.machine.Idle()).To(BeFalse())
+	})
 	It("sends nothing after a pause until it gets a view published since", func() {
 		h.now += 2 * time.Second
 		h.apply(h.machine.Tick(h.now))
--- a/internal/relay/machine.go
+++ b/internal/relay/machine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -176,6 +177,25 @@
 	return out
 }
 
+// CancelSearches cancels all searches of an origin that has given them up. Submits are
+// left alone: the origin records their outcomes also after that.
+func (m *Machine) CancelSearches(now time.Duration, origin string) Actions {
+	var searches []dispatch.Key
+	for key, a := range m.attempts {
+		if a.origin == origin && a.request.Operation == dispatch.Search {
+			searches = append(searches, key)
+		}
+	}
+	slices.SortFunc(searches, func(a, b dispatch.Key) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	var out Actions
+	for _, key := range searches {
+		out.Append(m.Cancel(now, origin, dispatch.Cancel{Key: key}))
+	}
+	return out
+}
+
 // OriginLost handles the loss of a host that cannot be reached any more. Its waiting
 // attempts are dropped and its searches in flight are aborted. Submits in flight
 // are not aborted, since a partially executed submit is of no use to anyone.
