--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -15,20 +15,9 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/forward"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
-// countingConn counts the bytes that are read from a connection.
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 const (
 	// maxHeadRead and maxBodyRead bound the bytes that may be read of a response whose
 	// head, or body, never ends: 64 KB and twice 4 MB, and a read buffer each.
@@ -84,7 +73,7 @@
 				_, err = io.WriteString(w, repeated)
 			}
 		})
-		return countingConn{clientEnd, &read}, nil
+		return testsuite.CountingConn{Conn: clientEnd, Received: &read}, nil
 	}
 	c := forward.New(testCodec{}, openPipe, &connectionCounter{})
 	c.SetTargets([]forward.Target{{Key: "r", Address: "replica", MaxConnections: 1}})
