Encode shared configurations in peerlink, outside the pure package

The encoding is kept where states are sent now, in a type of peerlink that is encoded like discovery.State; the agent keeps the wrapper of the configuration sent last. discovery is as before.

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -132,8 +132,6 @@
 	members *members
 	catalog *catalog.Catalog
 	config  *routing.Config
-	// sharedConfig is config as it is sent to other hosts.
-	sharedConfig *SharedConfig
 	// digest is the catalog's digest as of the last change of the replicas.
 	digest       uint64
 	readInFlight bool
@@ -269,7 +267,7 @@
 	if c == nil || c.Version <= m.configVersion() {
 		return false
 	}
-	m.config, m.sharedConfig = c, NewSharedConfig(c)
+	m.config = c
 	m.recordChange(Change{Kind: ChangeConfig, Source: source, Version: c.Version})
 	return true
 }
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -70,7 +70,7 @@
 	Revision uint64        `msgpack:"r"`
 	Age      time.Duration `msgpack:"g"`
 	// Config is nil if the requesting host has this version or a later one.
-	Config *SharedConfig `msgpack:"c"`
+	Config *routing.Config `msgpack:"c"`
 	// Since is the revision after which Entries are the changes; zero if Entries are
 	// all replicas.
 	Since   uint64          `msgpack:"n"`
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -41,7 +41,7 @@
 	for _, member := range s.Members {
 		m.members.recordHeartbeat(member, now-member.Age)
 	}
-	changed := m.adoptConfig(s.Config.Value(), from)
+	changed := m.adoptConfig(s.Config, from)
 	if s.Revision > m.catalog.Revision() || !m.catalog.Loaded() && s.Revision > 0 {
 		for _, e := range s.Entries {
 			if e.Replica != nil {
@@ -78,7 +78,7 @@
 	}
 	s.Entries = m.catalog.Entries(now, s.Since)
 	if m.configVersion() > r.Version {
-		s.Config = m.sharedConfig
+		s.Config = m.config
 	}
 	if r.Revision == 0 {
 		s.Members = m.members.listMembers(now)
--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -65,8 +65,8 @@
 	Log            zerolog.Logger
 }
 
-// Agent drives the discovery machine of one host. Its machine, view and host count
-// are accessed only by the goroutine of Run, to which other goroutines send events.
+// Agent drives the discovery machine of one host. Its machine, view, host count
+// and shared configuration are accessed only by the goroutine of Run, to which other goroutines send events.
 type Agent struct {
 	opts      Options
 	machine   *discovery.Machine
@@ -75,6 +75,8 @@
 	listener  net.Listener
 	view      *routing.View
 	hostCount int
+	// sharedConfig is the configuration that was sent to other hosts last.
+	sharedConfig *peerlink.SharedConfig
 }
 
 // New returns an agent. Listen opens its sockets, and Run starts it.
--- a/internal/discoveryagent/transport.go
+++ b/internal/discoveryagent/transport.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/peerlink"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 )
 
@@ -73,10 +74,11 @@
 var _ peerlink.Handler = (*Agent)(nil)
 
 // ServeState implements peerlink.Handler.
-func (a *Agent) ServeState(ctx context.Context, r *discovery.StateRequest) *discovery.State {
-	states := make(chan *discovery.State, 1)
+func (a *Agent) ServeState(ctx context.Context, r *discovery.StateRequest) *peerlink.State {
+	states := make(chan *peerlink.State, 1)
 	a.sendEvent(ctx, func(now time.Duration) discovery.Actions {
-		states <- a.machine.StateFor(now, *r)
+		s := a.machine.StateFor(now, *r)
+		states <- peerlink.NewState(s, a.shareConfig(s.Config))
 		return discovery.Actions{}
 	})
 	select {
@@ -87,6 +89,17 @@
 	}
 }
 
+// shareConfig returns the configuration for sending, or nil if c is nil.
+func (a *Agent) shareConfig(c *routing.Config) *peerlink.SharedConfig {
+	if c == nil {
+		return nil
+	}
+	if a.sharedConfig.Value() != c {
+		a.sharedConfig = peerlink.NewSharedConfig(c)
+	}
+	return a.sharedConfig
+}
+
 // ServePart implements peerlink.Handler.
 func (a *Agent) ServePart(ctx context.Context, r *split.Request) *split.Reply {
 	return a.opts.AnswerPart(ctx, r)
@@ -101,8 +114,9 @@
 	if reply.State == nil {
 		return nil, errNoState
 	}
-	if c := reply.State.Config.Value(); c != nil {
-		c.IndexRoutes()
+	state := reply.State.Received()
+	if state.Config != nil {
+		state.Config.IndexRoutes()
 	}
-	return reply.State, nil
+	return state, nil
 }
--- a/internal/peerlink/cancel_test.go
+++ b/internal/peerlink/cancel_test.go
@@ -27,8 +27,8 @@
 	return blockingHandler{started: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
 }
 
-func (h blockingHandler) ServeState(context.Context, *discovery.StateRequest) *discovery.State {
-	return &discovery.State{}
+func (h blockingHandler) ServeState(context.Context, *discovery.StateRequest) *peerlink.State {
+	return &peerlink.State{}
 }
 
 func (h blockingHandler) ServePart(ctx context.Context, _ *split.Request) *split.Reply {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -53,13 +53,13 @@
 
 // Reply answers a Request. The field with the same name as in the request is set.
 type Reply struct {
-	State *discovery.State `msgpack:"s"`
-	Part  *split.Reply     `msgpack:"p"`
+	State *State       `msgpack:"s"`
+	Part  *split.Reply `msgpack:"p"`
 }
 
 // Handler serves the requests of other hosts.
 type Handler interface {
-	ServeState(ctx context.Context, r *discovery.StateRequest) *discovery.State
+	ServeState(ctx context.Context, r *discovery.StateRequest) *State
 	// ServePart serves a part. ctx ends when the other host closes the connection.
 	ServePart(ctx context.Context, r *split.Request) *split.Reply
 }
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -17,8 +17,8 @@
 
 type handler struct{ delay time.Duration }
 
-func (h handler) ServeState(context.Context, *discovery.StateRequest) *discovery.State {
-	return &discovery.State{Revision: 7}
+func (h handler) ServeState(context.Context, *discovery.StateRequest) *peerlink.State {
+	return &peerlink.State{Revision: 7}
 }
 
 func (h handler) ServePart(_ context.Context, r *split.Request) *split.Reply {
--- a/internal/discovery/shared_config.go
+++ b/internal/peerlink/state.go
@@ -1,13 +1,38 @@
-package discovery
+package peerlink
 
 import (
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/gypsumlug/gypsumlug/internal/catalog"
+	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 )
 
+// State is a discovery.State as it is sent between hosts; its fields are described
+// there. Its encoding is that of discovery.State.
+type State struct {
+	Format   int                `msgpack:"f"`
+	Revision uint64             `msgpack:"r"`
+	Age      time.Duration      `msgpack:"g"`
+	Config   *SharedConfig      `msgpack:"c"`
+	Since    uint64             `msgpack:"n"`
+	Entries  []catalog.Entry    `msgpack:"e"`
+	Members  []discovery.Member `msgpack:"m,omitempty"`
+}
+
+// NewState returns a state for sending. config is nil, or shares the configuration of s.
+func NewState(s *discovery.State, config *SharedConfig) *State {
+	return &State{Format: s.Format, Revision: s.Revision, Age: s.Age, Config: config, Since: s.Since, Entries: s.Entries, Members: s.Members}
+}
+
+// Received returns a state that was received.
+func (s *State) Received() *discovery.State {
+	return &discovery.State{Format: s.Format, Revision: s.Revision, Age: s.Age, Config: s.Config.Value(), Since: s.Since, Entries: s.Entries, Members: s.Members}
+}
+
 // SharedConfig is the configuration in a [State]. It is encoded once for all hosts that
 // it is sent to, since many hosts ask for a changed configuration at the same time. The
 // encoding is that of routing.Config. It is safe for concurrent use.
