--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -65,8 +65,9 @@
 	Log            zerolog.Logger
 }
 
-// Agent drives the discovery machine of one host. Its machine, view, host count
-// and shared configuration are accessed only by the goroutine of Run, to which other goroutines send events.
+// Agent drives the discovery machine of one host. Its machine, view, host count and
+// shared configuration are accessed only by the goroutine of Run, to which other
+// goroutines send events.
 type Agent struct {
 	opts      Options
 	machine   *discovery.Machine
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -42,7 +42,7 @@
 	// attempts is the number of attempts that were sent.
 	attempts int
 	// callerLeft reports whether the caller, or the host that sent the part, has
-	// disconnected.
+	// disconnected. awaitAnswer sets it before the first attempt.
 	callerLeft func() bool
 	// done is closed when the request has ended and no more replies are read.
 	done chan struct{}
