Log what repeats of a request that crashes replicas have in common

The line named a fingerprint, which cannot be traced back: nothing told a request that is different each time from the same one by way of another caller. Authority, path, caller and the size of the body tell them apart.

--- a/internal/entryhost/recorder_test.go
+++ b/internal/entryhost/recorder_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
 	"github.com/gypsumlug/gypsumlug/internal/testsuite"
+	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 // Log lines about requests for unknown routes must not use up the limit of the lines
@@ -81,3 +82,19 @@
 	h.publish(routing.NewView(config, []*routing.Replica{{ID: "i", Service: "s", Address: "127.0.0.1:9"}}, h.now()), 1)
 	g.Expect(text()).To(And(ContainSubstring(telemetry.ConfigurationVersion+" 7\n"), ContainSubstring(telemetry.ViewReplicas+" 1\n")))
 }
+
+// The line about a request that may crash replicas names what repeats of it have in
+// common, unless another host told of it.
+func TestSuspectLineNamesTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	log := &testsuite.SyncBuffer{}
+	r := newRecorder(telemetry.NewLogger(log, "info"), telemetry.NewCounters(), func() time.Duration { return 0 })
+	r.SuspectChanged(gateway.SuspectChange{
+		Fingerprint: 7, Degree: view.Suspected, RequestID: "a", Replica: "r1", Host: "x.example", Path: "/p/1", Caller: "100.64.0.7", BodyBytes: 12,
+	})
+	g.Expect(log.String()).To(And(
+		ContainSubstring("to=x.example"), ContainSubstring("path=/p/1"), ContainSubstring("caller=100.64.0.7"), ContainSubstring("body_bytes=12"),
+	))
+	r.SuspectChanged(gateway.SuspectChange{Fingerprint: 8, Degree: view.Suspected})
+	g.Expect(strings.Count(log.String(), "caller=")).To(Equal(1))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,10 +46,14 @@
 type SuspectChange struct {
 	Fingerprint view.Fingerprint
 	Degree      view.Suspicion
-	// RequestID and Replica are empty if the change was learned from another
-	// host.
+	// The fields below are empty if the change was learned from another host.
 	RequestID string
 	Replica   string
+	// Host, Path, Caller and BodyBytes describe the request: its authority, its
+	// target without the query, the address of its caller and the size of its
+	// body.
+	Host, Path, Caller string
+	BodyBytes          int
 }
 
 // Request is a caller's request.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -20,8 +20,13 @@
 // fingerprint identifies repeats of a request: same method, host, path, body
 // and caller. The query string may differ.
 func fingerprint(m *dispatch.Message) view.Fingerprint {
+	return quarantine.Fingerprint(m.Host+targetPath(m), m.Method+" "+m.Caller+" "+string(m.Body))
+}
+
+// targetPath returns the message's target without its query.
+func targetPath(m *dispatch.Message) string {
 	path, _, _ := strings.Cut(m.Target, "?")
-	return quarantine.Fingerprint(m.Host+path, m.Method+" "+m.Caller+" "+string(m.Body))
+	return path
 }
 
 // SuspectHints returns the suspect requests to report to other hosts.
@@ -48,7 +53,10 @@
 func (g *Gateway) replicaCrashed(now time.Duration, m *dispatch.Message, req *dispatch.Request) {
 	fp := fingerprint(m)
 	degree := g.shared.recordCrash(now, fp, req)
-	g.cfg.Recorder.SuspectChanged(SuspectChange{Fingerprint: fp, Degree: degree, RequestID: m.ID, Replica: req.Endpoint})
+	g.cfg.Recorder.SuspectChanged(SuspectChange{
+		Fingerprint: fp, Degree: degree, RequestID: m.ID, Replica: req.Endpoint,
+		Host: m.Host, Path: targetPath(m), Caller: m.Caller, BodyBytes: len(m.Body),
+	})
 }
 
 func (s *sharedState) recordCrash(now time.Duration, fp view.Fingerprint, req *dispatch.Request) view.Suspicion {
