--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -228,7 +228,7 @@
 	line := r.log.Info().Str("event", eventBelief).Uint64("fingerprint", uint64(s.Fingerprint)).Stringer("degree", s.Degree)
 	if s.RequestID != "" {
 		line.Str("request", s.RequestID).Str("replica", s.Replica).
-			Str("to", s.Host).Str("path", s.Path).Str("caller", s.Caller).Int("body_bytes", s.BodyBytes)
+			Str("to", s.Host).Str("path", s.Path).Str("from", s.Caller).Int("body_bytes", s.BodyBytes)
 	}
 	line.Msg(eventSuspect)
 }
