Know a crashing request by its content, whoever sends it

Cause: the fingerprint by which the quarantine knows a request held the address of the caller. Repeats come from many addresses, so each was a new request.

Change: method, host, path and body identify a request.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -17,10 +17,11 @@
 	maxHintsPerHeartbeat = 3
 )
 
-// fingerprint identifies repeats of a request: same method, host, path, body
-// and caller. The query string may differ.
+// fingerprint identifies repeats of a request: same method, host, path and body.
+// The query string may differ, and so may the address of the caller, since what
+// crashes a replica is the content.
 func fingerprint(m *dispatch.Message) view.Fingerprint {
-	return quarantine.Fingerprint(m.Host+targetPath(m), m.Method+" "+m.Caller+" "+string(m.Body))
+	return quarantine.Fingerprint(m.Host+targetPath(m), m.Method+" "+string(m.Body))
 }
 
 // targetPath returns the message's target without its query.
