Back off between retries though a replica of the shard has left

A query whose shard had lost a replica since it began, and whose other replicas refused connections, sent attempts without any pause until its target: the backoff began only once as many replicas were tried as the shard had at first. Found by a test of replicas that end under a request, which never ended; 20,000 attempts in no time. Each cost a dial.

Now a retry waits unless an eligible replica is untried. TestRetriesBackOffThoughAReplicaHasLeft failed before (100 attempts in place of 2).

--- a/internal/query/forward_test.go
+++ b/internal/query/forward_test.go
@@ -37,9 +37,15 @@
 	return "", false
 }
 
+// replicas is what a query asks about replicas and budgets.
+type replicas interface {
+	query.ReplicaSelector
+	query.Budgets
+}
+
 // newForwardQuery returns a query that forwards a message to the given number of
 // shards, each with replicas a, b and c.
-func newForwardQuery(shards int, f query.Forward, replicas firstReplica) *query.Query {
+func newForwardQuery(shards int, f query.Forward, replicas replicas) *query.Query {
 	s := config.Snapshot{ID: 1}
 	for i := range shards {
 		s.Shards = append(s.Shards, config.Shard{Range: keyrange.Range{Start: keyrange.Key(i), End: keyrange.Key(i + 1)}, Replicas: []string{"a", "b", "c"}})
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -83,12 +83,20 @@
 	}
 	s.retryScheduled = true
 	s.retryAt = now
-	if len(s.tried) >= len(s.replicas) {
+	if !q.hasUntriedReplica(now, s) {
 		s.retryAt = now + q.nextBackoff(s)
 	}
 	q.sendDueRetry(now, i)
 }
 
+// hasUntriedReplica reports whether the shard has an eligible replica that has not
+// ended an attempt without a good reply.
+func (q *Query) hasUntriedReplica(now time.Duration, s *shard) bool {
+	return slices.ContainsFunc(s.replicas, func(id string) bool {
+		return !slices.Contains(s.tried, id) && !slices.Contains(s.withoutData, id) && q.params.Replicas.Eligible(now, id)
+	})
+}
+
 // nextBackoff doubles the backoff of a shard within its bounds and returns it with
 // jitter.
 func (q *Query) nextBackoff(s *shard) time.Duration {
