Notice that a replica ended under a request, however it ends

A crash was seen only where the connection was closed and the address refused a new one.

Attempts without a response are remembered by endpoint and blamed once the endpoint is known to have ended: another process answers at its address, or the platform lists it no more, or lists another incarnation. A suspect without a response for a second has its replica's address tried. A suspect whose attempt has no response is given up in place of being sent to the next one.

Innocent requests: the test showed a popular request, in flight beside the crashing one twice within milliseconds, taken for the cause. A request that completed in the last minute now needs two crashes 300 ms apart, or three, and a completion clears it.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -16,6 +16,8 @@
 	deadline time.Time
 	// done receives the reply. Only deliver calls it, and only once.
 	done func(dispatch.Reply)
+	// replicaAccepts finds out whether the replica accepts a connection.
+	replicaAccepts func() bool
 	// delivered is set when done is called.
 	delivered bool
 	// cancelSignal is closed when the attempt is cancelled.
@@ -75,6 +77,18 @@
 	}
 }
 
+// setDeadline sets the deadline of the attempt's connection, unless the attempt was
+// cancelled.
+func (a *attempt) setDeadline(c *conn, deadline time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancelled {
+		return false
+	}
+	_ = c.SetDeadline(deadline)
+	return true
+}
+
 func (a *attempt) wasCancelled() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -31,6 +31,9 @@
 	// closedByPeer means that the replica closed or reset the connection before it
 	// responded to the attempt.
 	closedByPeer
+	// silent means that the replica did not respond to a suspect and accepts no
+	// connection either.
+	silent
 )
 
 // maxHeadBytes bounds the bytes read for the head of a response, informational
@@ -41,6 +44,10 @@
 	framingFactor = 2
 )
 
+// errReplicaSilent is returned for a replica that neither responds to a suspect nor
+// accepts a connection.
+var errReplicaSilent = errors.New("replica is silent")
+
 // errResponseTooLarge is returned for a response that exceeds one of the bounds.
 var errResponseTooLarge = errors.New("response over the size limit")
 
@@ -175,6 +182,9 @@
 
 // readErrorResult returns the state of a connection after a failed read.
 func readErrorResult(a *attempt, err error) connResult {
+	if errors.Is(err, errReplicaSilent) {
+		return silent
+	}
 	connClosed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
 	if connClosed && !a.wasCancelled() {
 		return closedByPeer
@@ -188,6 +198,11 @@
 // the connection can then be reused. To accept a new one would cost the replica
 // more than the attempt.
 func (c *conn) awaitResponse(a *attempt) error {
+	if a.req.Suspect {
+		if err := c.awaitSuspectResponse(a); err != nil {
+			return err
+		}
+	}
 	_, err := c.reader.Peek(1)
 	if !errors.Is(err, os.ErrDeadlineExceeded) || a.wasCancelled() {
 		return err
@@ -198,6 +213,31 @@
 	return err
 }
 
+// awaitSuspectResponse waits for the first byte of the response to a suspect for a
+// while, and then finds out whether the replica still accepts connections. It returns
+// nil if the response has begun to arrive or may still arrive.
+func (c *conn) awaitSuspectResponse(a *attempt) error {
+	if !a.setDeadline(c, earlier(a.deadline, time.Now().Add(silenceCheckDelay))) {
+		return nil
+	}
+	_, err := c.reader.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || a.wasCancelled() {
+		return err
+	}
+	if !a.replicaAccepts() {
+		return errReplicaSilent
+	}
+	a.setDeadline(c, a.deadline)
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // readResponse reads one complete response and skips informational (1xx) ones.
 func (c *conn) readResponse() (*http.Response, []byte, error) {
 	for {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -39,6 +39,11 @@
 	// crashCheckTimeout bounds the dial that finds out whether a replica that closed
 	// a connection during an attempt still accepts connections.
 	crashCheckTimeout = 50 * time.Millisecond
+	// silenceCheckDelay is how long a replica may take to respond to a suspect until a
+	// dial, bounded by silenceCheckTimeout, finds out whether it still accepts
+	// connections.
+	silenceCheckDelay   = time.Second
+	silenceCheckTimeout = 300 * time.Millisecond
 	// maxStrayResponses is the number of responses to other requests after which an
 	// attempt stops waiting for its own.
 	maxStrayResponses = 3
@@ -163,7 +168,8 @@
 // Send sends an attempt to its replica. It calls done exactly once, from another
 // goroutine. The call comes no later than the attempt's deadline, except that a
 // cancelled attempt may take up to replyGrace longer, and one whose connection was
-// closed by the replica up to crashCheckTimeout.
+// closed by the replica up to crashCheckTimeout, and a suspect's without a response up
+// to silenceCheckTimeout.
 func (c *Client) Send(req dispatch.Request, done func(dispatch.Reply)) {
 	a := newAttempt(req, done)
 	c.mu.Lock()
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -87,6 +87,7 @@
 // send acquires a connection, sends the attempt over it and returns the reply. If
 // the write failed before any byte was sent, it tries another connection.
 func (p *pool) send(a *attempt) dispatch.Reply {
+	a.replicaAccepts = p.accepts
 	dials := 0
 	for {
 		c, code := p.acquire(a, &dials)
@@ -99,8 +100,12 @@
 		}
 		reply, res := c.roundTrip(a, p.client.codec)
 		a.unbind()
-		if res == closedByPeer {
+		switch res {
+		case closedByPeer:
 			return p.replyAfterPeerClose(a, c, reply)
+		case silent:
+			p.release(c, false)
+			return a.req.UnknownReply(result.EndpointCrashed)
 		}
 		p.release(c, res == reusable)
 		if res != notWritten {
@@ -132,6 +137,19 @@
 	return reply
 }
 
+// accepts reports whether the replica accepts a connection within silenceCheckTimeout.
+func (p *pool) accepts() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
+	defer cancel()
+	conn, err := p.client.dial(ctx, p.address)
+	p.client.observer.Dialed(p.key, err)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // acquire returns an idle connection, opens one, or waits for one to be released.
 // A code other than 0 is the reason to refuse the attempt. dials counts the dials for
 // the attempt so far.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
@@ -39,6 +40,10 @@
 	replies chan timedReply
 	trace   trace
 	stages  Stages
+	// answered tells which shards a replica has answered successfully.
+	answered []atomic.Bool
+	// crashed is set once a replica ended that had an attempt of the request.
+	crashed atomic.Bool
 	// attempts is the number of attempts that were sent.
 	attempts int
 	// callerLeft reports whether the caller, or the host that sent the part, has
@@ -80,6 +85,7 @@
 		timeLimit: timeLimit,
 		target:    target,
 		shards:    len(plan.Services),
+		answered:  make([]atomic.Bool, len(plan.Services)),
 		replies:   make(chan timedReply, replyBufferPerShard*len(plan.Services)),
 		done:      make(chan struct{}),
 	}
@@ -203,12 +209,17 @@
 	if x.stages.Sent == 0 {
 		x.stages.Sent = sent - x.started
 	}
-	attempt := x.g.shared.attemptSent(sent, x.route.Name, req.Endpoint)
+	attempt := x.g.shared.attemptSent(sent, x.route.Name, &req)
 	x.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := x.g.cfg.Now()
-		x.g.shared.attemptEnded(now, x.route, attempt, &reply, now-sent)
-		if reply.Code == result.EndpointCrashed {
-			x.g.replicaCrashed(now, &x.request.Message, &req)
+		answered := &x.answered[int(req.Range.Start)]
+		if reply.Outcome == dispatch.OK {
+			answered.Store(true)
+		}
+		blamed := x.g.shared.attemptEnded(now, x.route, attempt, &reply, now-sent, answered.Load())
+		if len(blamed) > 0 {
+			x.crashed.Store(true)
+			x.g.recordCrashes(now, blamed)
 		}
 		x.g.cfg.Recorder.AttemptEnded(reply.Code)
 		select {
@@ -222,6 +233,7 @@
 // and records the end of the request.
 func (x *execution) finish(a *query.Answer) Answer {
 	out := x.callerAnswer(a)
+	x.recordCompletion(a)
 	if len(x.route.Shards) > 0 {
 		x.recordThrottleOutcome(a, len(out.ShardResponses) > 0)
 	}
@@ -229,6 +241,14 @@
 	return out
 }
 
+// recordCompletion records that the request completed, if all shards answered and no
+// replica ended under it.
+func (x *execution) recordCompletion(a *query.Answer) {
+	if a.Covered == a.Shards && !x.crashed.Load() {
+		x.g.shared.requestCompleted(x.g.cfg.Now(), &x.request.Message)
+	}
+}
+
 // recordThrottleOutcome tells the throttle about a query that was on time, or
 // that was late or failed while replicas refused attempts. Other failures say
 // nothing about capacity.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,8 @@
 // SetView replaces the view. Requests in progress keep the view that they
 // started with.
 func (g *Gateway) SetView(v *routing.View) {
-	g.shared.setView(v)
+	now := g.cfg.Now()
+	g.recordCrashes(now, g.shared.setView(now, v))
 	g.view.Store(v)
 }
 
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -50,6 +50,7 @@
 	}
 	reply := &split.Reply{MayHaveRun: a.MayHaveRun || a.Covered > 0, Attempts: a.Dispatched, Records: exec.mergeRecords(a.Responses)}
 	exec.recordPart(partCode(a), a)
+	exec.recordCompletion(a)
 	for _, p := range a.Responses {
 		reply.Stamps = append(reply.Stamps, p.Stamp)
 	}
--- a/internal/gateway/shared_state.go
+++ b/internal/gateway/shared_state.go
@@ -10,8 +10,10 @@
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
+	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
+	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 const (
@@ -47,6 +49,8 @@
 	throttles map[string]*balance.Throttle
 	// suspects holds the requests suspected of crashing replicas.
 	suspects *quarantine.Tracker
+	// attempts holds the attempts that have no response.
+	attempts *quarantine.Attempts
 	peers    *split.PeerTable
 }
 
@@ -59,6 +63,7 @@
 		hedgeLatencies: make(map[string]*balance.QuantileEstimator),
 		throttles:      make(map[string]*balance.Throttle),
 		suspects:       quarantine.New(quarantine.Config{MaxRequests: maxSuspects}),
+		attempts:       quarantine.NewAttempts(),
 		peers:          split.NewPeerTable(self),
 	}
 }
@@ -116,12 +121,21 @@
 	s.resizeBudgets()
 }
 
-func (s *sharedState) setView(v *routing.View) {
+// setView replaces the view. It returns the attempts that had no response from
+// replicas that ended without announcing it.
+func (s *sharedState) setView(now time.Duration, v *routing.View) []*quarantine.Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var blamed []*quarantine.Attempt
+	if s.view != nil {
+		for _, key := range v.EndedSince(s.view) {
+			blamed = append(blamed, s.attempts.EndpointEnded(now, key)...)
+		}
+	}
 	s.replicas.SetReplicas(v.Replicas)
 	s.view = v
 	s.updateHostsByService()
+	return blamed
 }
 
 func (s *sharedState) setAllowance(a balance.Allowance) {
@@ -163,21 +177,61 @@
 	return budget
 }
 
-// attemptSent records that an attempt was sent to the replica with the key.
-func (s *sharedState) attemptSent(now time.Duration, route, key string) *balance.Attempt {
+// sentAttempt is an attempt in progress, as the replica table and the quarantine
+// know it.
+type sentAttempt struct {
+	load  *balance.Attempt
+	blame *quarantine.Attempt
+}
+
+// attemptSent records that an attempt was sent to its replica.
+func (s *sharedState) attemptSent(now time.Duration, route string, req *dispatch.Request) sentAttempt {
+	a := sentAttempt{blame: &quarantine.Attempt{Endpoint: req.Endpoint, Message: req.Message, Isolated: req.Suspect}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.replicas.AttemptSent(now, route, key)
+	a.load = s.replicas.AttemptSent(now, route, req.Endpoint)
+	s.attempts.Sent(a.blame)
+	return a
 }
 
-// attemptEnded records the reply to an attempt and its latency.
-func (s *sharedState) attemptEnded(now time.Duration, route *routing.Route, a *balance.Attempt, reply *dispatch.Reply, took time.Duration) {
+// attemptEnded records the reply to an attempt and its latency. needless means that
+// another replica had answered in place of this one. It returns the attempts that
+// crashed their replica, according to the reply.
+func (s *sharedState) attemptEnded(now time.Duration, route *routing.Route, a sentAttempt, reply *dispatch.Reply, took time.Duration, needless bool) []*quarantine.Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replicas.AttemptEnded(now, a, reply)
+	s.replicas.AttemptEnded(now, a.load, reply)
 	if reply.Outcome == dispatch.OK {
 		s.recordLatency(route, took)
 	}
+	return s.attemptsToBlame(now, a.blame, reply, needless)
+}
+
+// attemptsToBlame returns the attempts that a reply shows to have crashed their
+// replica. The caller must hold mu.
+func (s *sharedState) attemptsToBlame(now time.Duration, a *quarantine.Attempt, reply *dispatch.Reply, needless bool) []*quarantine.Attempt {
+	if reply.Outcome == dispatch.Unknown && !needless {
+		if s.attempts.Lost(now, a) {
+			return []*quarantine.Attempt{a}
+		}
+		if reply.Code == result.EndpointCrashed {
+			return s.attempts.EndpointEnded(now, a.Endpoint)
+		}
+		return nil
+	}
+	if s.attempts.Answered(a) && reply.Outcome == dispatch.OK {
+		s.suspects.RecordRecovery(now, []view.Fingerprint{fingerprint(a.Message)})
+	}
+	if reply.Code == result.UnknownEndpoint && s.takesRequests(a.Endpoint) {
+		return s.attempts.EndpointEnded(now, a.Endpoint)
+	}
+	return nil
+}
+
+// takesRequests reports whether a replica takes requests according to the view. The
+// caller must hold mu.
+func (s *sharedState) takesRequests(key string) bool {
+	return s.view != nil && s.view.Replicas[key] != nil
 }
 
 // recordLatency adds the latency of a successful attempt to the route's
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -49,24 +49,34 @@
 	}
 }
 
-// replicaCrashed records that a replica crashed while it had an attempt of the
-// request.
-func (g *Gateway) replicaCrashed(now time.Duration, m *dispatch.Message, req *dispatch.Request) {
-	fp := fingerprint(m)
-	degree := g.shared.recordCrash(now, fp, req)
-	g.cfg.Recorder.SuspectChanged(SuspectChange{
-		Fingerprint: fp, Degree: degree, RequestID: m.ID, Replica: req.Endpoint,
-		Host: m.Host, Path: targetPath(m), Caller: m.Caller, BodyBytes: len(m.Body),
-	})
+// recordCrashes records that replicas crashed while they had these attempts.
+func (g *Gateway) recordCrashes(now time.Duration, blamed []*quarantine.Attempt) {
+	for _, a := range blamed {
+		m := a.Message
+		fp := fingerprint(m)
+		degree := g.shared.recordCrash(now, fp, a)
+		g.cfg.Recorder.SuspectChanged(SuspectChange{
+			Fingerprint: fp, Degree: degree, RequestID: m.ID, Replica: a.Endpoint,
+			Host: m.Host, Path: targetPath(m), Caller: m.Caller, BodyBytes: len(m.Body),
+		})
+	}
 }
 
-func (s *sharedState) recordCrash(now time.Duration, fp view.Fingerprint, req *dispatch.Request) view.Suspicion {
+func (s *sharedState) recordCrash(now time.Duration, fp view.Fingerprint, a *quarantine.Attempt) view.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.RecordCrash(now, view.Crash{Endpoint: req.Endpoint, InFlight: []view.Fingerprint{fp}, Isolated: req.Suspect})
+	s.suspects.RecordCrash(now, view.Crash{Endpoint: a.Endpoint, InFlight: []view.Fingerprint{fp}, Isolated: a.Isolated})
 	return s.suspects.Degree(fp)
 }
 
+// requestCompleted records that a request completed, and no replica ended under it.
+func (s *sharedState) requestCompleted(now time.Duration, m *dispatch.Message) {
+	fp := fingerprint(m)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.RecordCompletion(now, fp)
+}
+
 // clearSuspect records that a suspect request completed while it ran alone on a
 // replica.
 func (s *sharedState) clearSuspect(now time.Duration, m *dispatch.Message) {
--- a/internal/quarantine/hints.go
+++ b/internal/quarantine/hints.go
@@ -53,10 +53,10 @@
 // exceeds neither the remaining time of the sender nor the time to live that this
 // host gives a record of the same rank after a crash.
 func (t *Tracker) newRecordFromHint(h peerwire.SuspectHint) *record {
-	received := &record{fingerprint: h.Fingerprint, rank: suspect}
+	received := &record{fingerprint: h.Fingerprint, rank: suspect, suspectSince: t.now}
 	received.addEndpoints(h.Endpoints)
 	switch {
-	case h.Proven && len(received.endpoints) == maxEndpoints:
+	case h.Proven && len(received.endpoints) >= minProofEndpoints:
 		received.rank = proven
 	case h.Cleared:
 		received.rank = cleared
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,8 +32,14 @@
 	// in transit is not measured: a hint that takes no longer than HopCost does
 	// not prolong a suspicion.
 	HopCost = time.Second
-	// maxEndpoints bounds the endpoints recorded for a request.
-	maxEndpoints = 2
+	// minProofEndpoints is the number of endpoints whose crashes are a proof, and
+	// maxEndpoints the number that is recorded for a request.
+	minProofEndpoints = 2
+	maxEndpoints      = 3
+
+	// crashSpacing is the least time from the first crash to one that is a proof
+	// against a request that completed recently.
+	crashSpacing = 300 * time.Millisecond
 
 	defaultSuspectTTL    = 5 * time.Minute
 	defaultQuarantineTTL = 10 * time.Minute
@@ -86,7 +92,9 @@
 	// endpoints holds the sorted IDs of the endpoints that crashed while they
 	// ran the request.
 	endpoints []string
-	expires   time.Duration
+	// suspectSince is when this host recorded the first of these crashes.
+	suspectSince time.Duration
+	expires      time.Duration
 }
 
 func (r *record) hasEndpoint(endpoint string) bool { return slices.Contains(r.endpoints, endpoint) }
@@ -99,17 +107,12 @@
 	slices.Sort(r.endpoints)
 }
 
-// hasOtherEndpoint reports whether an endpoint other than the given one crashed
-// while it ran the request.
-func (r *record) hasOtherEndpoint(endpoint string) bool {
-	return slices.ContainsFunc(r.endpoints, func(e string) bool { return e != endpoint })
-}
-
 // Tracker records the requests that were in flight when endpoints crashed.
 type Tracker struct {
-	cfg     Config
-	records map[view.Fingerprint]*record
-	now     time.Duration
+	cfg         Config
+	records     map[view.Fingerprint]*record
+	completions completions
+	now         time.Duration
 }
 
 // New returns a tracker without records.
@@ -136,19 +139,38 @@
 func (t *Tracker) addCrash(fp view.Fingerprint, endpoint string, alone bool) {
 	r, ok := t.records[fp]
 	if !ok {
-		r = &record{fingerprint: fp}
+		r = &record{fingerprint: fp, suspectSince: t.now}
+	}
+	if r.rank == cleared {
+		// The request completed after those crashes.
+		r.endpoints, r.suspectSince = nil, t.now
 	}
 	r.rank = max(r.rank, suspect)
-	if alone && r.hasOtherEndpoint(endpoint) {
+	r.addEndpoint(endpoint)
+	if alone && t.provesGuilt(r) {
 		r.rank = proven
 	}
-	r.addEndpoint(endpoint)
 	r.expires = t.now + t.timeToLive(r.rank)
 	if !ok {
 		t.insert(r)
 	}
 }
 
+// provesGuilt reports whether the recorded crashes, the last of which took place while
+// the request ran alone, show that the request causes them.
+// A request that often completes may have been beside the cause twice, if that one
+// crashes several endpoints at once.
+func (t *Tracker) provesGuilt(r *record) bool {
+	switch {
+	case len(r.endpoints) < minProofEndpoints:
+		return false
+	case t.completions.contains(t.now, r.fingerprint):
+		return len(r.endpoints) == maxEndpoints || t.now-r.suspectSince >= crashSpacing
+	default:
+		return true
+	}
+}
+
 // timeToLive returns how long a record is kept after its last crash.
 func (t *Tracker) timeToLive(r rank) time.Duration {
 	if r == proven {
@@ -168,6 +190,15 @@
 	}
 }
 
+// RecordCompletion records that a request, suspect or not, completed and no endpoint
+// crashed under it.
+func (t *Tracker) RecordCompletion(now time.Duration, fp view.Fingerprint) {
+	t.completions.add(now, fp)
+	if len(t.records) > 0 {
+		t.RecordRecovery(now, []view.Fingerprint{fp})
+	}
+}
+
 // Degree returns the degree of suspicion of a request as of the last event.
 func (t *Tracker) Degree(fp view.Fingerprint) view.Suspicion {
 	r, ok := t.records[fp]
--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -114,6 +114,12 @@
 		}
 		q.suspect = true
 	}
+	if a.isolated && r.Outcome == dispatch.Unknown {
+		// The endpoint may have ended without a sign. Another attempt might end
+		// the next one.
+		q.giveUpAll(missingCode(r.Code))
+		return
+	}
 	if len(s.openAttempts) > 0 {
 		return
 	}
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -60,6 +60,8 @@
 
 	byService map[string][]string
 	plans     map[string]*Plan
+	// leaving holds the keys of the registered replicas that are leaving.
+	leaving map[string]bool
 }
 
 // minAttempts is the smallest number of attempts per shard, the first one and its
@@ -75,9 +77,13 @@
 		ReadAt:    readAt,
 		byService: make(map[string][]string),
 		plans:     make(map[string]*Plan),
+		leaving:   make(map[string]bool),
 	}
 	newest := newestByAddress(replicas)
 	for _, r := range replicas {
+		if r.Leaving {
+			v.leaving[r.Key()] = true
+		}
 		if r.Leaving || newest[r.Address] != r {
 			continue
 		}
@@ -107,6 +113,19 @@
 	return newest
 }
 
+// EndedSince returns the keys of the replicas that took requests in an earlier view
+// and are not registered in this one, so that they ended without announcing it.
+func (v *View) EndedSince(earlier *View) []string {
+	var ended []string
+	for key := range earlier.Replicas {
+		if v.Replicas[key] == nil && !v.leaving[key] {
+			ended = append(ended, key)
+		}
+	}
+	slices.Sort(ended)
+	return ended
+}
+
 func (v *View) buildPlans() {
 	for i := range v.Config.Routes {
 		r := &v.Config.Routes[i]
