--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,6 +144,15 @@
 	Load        *Load         `msgpack:"l"`
 	// Response is the response to a forwarded message.
 	Response *Response `msgpack:"-"`
+	// RateLimit is set if the endpoint itself answered a forwarded message.
+	RateLimit *RateLimit `msgpack:"-"`
+}
+
+// RateLimit is what an endpoint's answer says about the requests that it accepts.
+type RateLimit struct {
+	// PerSecond is the number of requests a second that the endpoint accepts from all
+	// hosts together, or zero if the answer names no limit.
+	PerSecond float64
 }
 
 // Cancel withdraws an attempt. The attempt still gets a reply.
