Obey the rate limits that replicas name, together with all other hosts

A replica in need names the requests a second that it takes from all hosts together. Nothing read that: it got up to 22 times what is allowed in 4 s.

Package ratelimit divides a limit among the hosts that send to a replica: all, or the owners of its group for a divided index. A limit ends with an answer that names none, or with the replica.

Another replica takes what one may not get; a query for which too few shards are left, or a request without a replica, is refused at once (348). Such a refusal costs no retry budget, as nothing arrived.

A heartbeat leaves out rate limits that do not fit into its datagram; the test of its size now also checks that members and suspects are all in.

--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/catalog"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/ratelimit"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 )
 
@@ -41,6 +42,8 @@
 	Members []Member `msgpack:"m"`
 	// Suspects are requests that are suspected of crashing replicas.
 	Suspects []peerwire.SuspectHint `msgpack:"q,omitempty"`
+	// RateLimits are rate limits that replicas named.
+	RateLimits []ratelimit.Hint `msgpack:"t,omitempty"`
 }
 
 // Member describes a host, to itself or to another host.
--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/peerlink"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/ratelimit"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
 )
@@ -62,7 +63,11 @@
 	// heartbeats. RecordSuspects is called with those in other hosts' heartbeats.
 	Suspects       func() []peerwire.SuspectHint
 	RecordSuspects func([]peerwire.SuspectHint)
-	Log            zerolog.Logger
+	// RateLimits returns the rate limits of replicas, for inclusion in heartbeats.
+	// RecordRateLimits is called with those in other hosts' heartbeats.
+	RateLimits       func() []ratelimit.Hint
+	RecordRateLimits func([]ratelimit.Hint)
+	Log              zerolog.Logger
 }
 
 // Agent drives the discovery machine of one host. Its machine, view, host count and
--- a/internal/discoveryagent/transport.go
+++ b/internal/discoveryagent/transport.go
@@ -36,10 +36,11 @@
 	return nil
 }
 
-// sendHeartbeat adds the suspects to a heartbeat and sends it.
+// sendHeartbeat adds suspects and rate limits to a heartbeat and sends it.
 func (a *Agent) sendHeartbeat(outgoing discovery.OutgoingHeartbeat) {
 	outgoing.Heartbeat.Suspects = a.opts.Suspects()
-	data, err := msgpack.Marshal(&outgoing.Heartbeat)
+	outgoing.Heartbeat.RateLimits = a.opts.RateLimits()
+	data, err := encodeHeartbeat(&outgoing.Heartbeat)
 	if err != nil {
 		a.opts.Log.Error().Err(err).Msg("heartbeat not encoded")
 		return
@@ -67,10 +68,23 @@
 			continue
 		}
 		a.opts.RecordSuspects(h.Suspects)
+		a.opts.RecordRateLimits(h.RateLimits)
 		a.sendEvent(ctx, func(now time.Duration) discovery.Actions { return a.machine.HandleHeartbeat(now, h) })
 	}
 }
 
+// encodeHeartbeat encodes a heartbeat. It leaves out rate limits that do not fit into a
+// datagram; their turn comes again.
+func encodeHeartbeat(h *discovery.Heartbeat) ([]byte, error) {
+	for {
+		data, err := msgpack.Marshal(h)
+		if err != nil || len(data) <= maxDatagram || len(h.RateLimits) == 0 {
+			return data, err
+		}
+		h.RateLimits = h.RateLimits[:len(h.RateLimits)/2]
+	}
+}
+
 var _ peerlink.Handler = (*Agent)(nil)
 
 // ServeState implements peerlink.Handler.
--- a/internal/discoveryagent/transport_test.go
+++ b/internal/discoveryagent/transport_test.go
@@ -13,9 +13,10 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
 	"github.com/gypsumlug/gypsumlug/internal/peerwire"
+	"github.com/gypsumlug/gypsumlug/internal/ratelimit"
 )
 
-// A heartbeat with the most members and suspects, and the longest names and
+// A heartbeat with the most members, suspects and rate limits, and the longest names and
 // numbers, fits into a datagram.
 func TestLargestHeartbeatFitsIntoDatagram(t *testing.T) {
 	g := NewWithT(t)
@@ -33,8 +34,15 @@
 			replica := strings.Repeat(fmt.Sprint(i), 26)
 			outgoing.Heartbeat.Suspects = append(outgoing.Heartbeat.Suspects, peerwire.SuspectHint{Fingerprint: math.MaxUint64, Endpoints: []string{replica, replica}, Proven: true, TTL: time.Hour})
 		}
-		data, err := msgpack.Marshal(&outgoing.Heartbeat)
+		for i := range 8 {
+			outgoing.Heartbeat.RateLimits = append(outgoing.Heartbeat.RateLimits, ratelimit.Hint{Endpoint: strings.Repeat(fmt.Sprint(i), 26), PerSecond: math.MaxFloat64, Age: time.Hour})
+		}
+		data, err := encodeHeartbeat(&outgoing.Heartbeat)
 		g.Expect(err).NotTo(HaveOccurred())
+		var received discovery.Heartbeat
+		g.Expect(msgpack.Unmarshal(data, &received)).To(Succeed())
+		g.Expect(received.Members).To(HaveLen(len(outgoing.Heartbeat.Members)))
+		g.Expect(received.Suspects).To(HaveLen(len(outgoing.Heartbeat.Suspects)))
 		g.Expect(len(data)).To(BeNumerically("<=", maxDatagram))
 	}
 }
--- a/internal/entryhost/departed_test.go
+++ b/internal/entryhost/departed_test.go
@@ -31,6 +31,7 @@
 func (codeRecorder) AttemptEnded(result.Code)                {}
 func (codeRecorder) QueryEvent(query.Event)                  {}
 func (codeRecorder) SuspectChanged(s gateway.SuspectChange)  {}
+func (codeRecorder) LimitChanged(gateway.LimitChange)        {}
 
 // newIndexGateway returns a gateway with a route to an index of two shards, with two
 // replicas each.
--- a/internal/entryhost/departed_waiting_test.go
+++ b/internal/entryhost/departed_waiting_test.go
@@ -65,6 +65,7 @@
 func (r attemptRecorder) AttemptEnded(c result.Code)         { r.codes <- c }
 func (attemptRecorder) QueryEvent(query.Event)               {}
 func (attemptRecorder) SuspectChanged(gateway.SuspectChange) {}
+func (attemptRecorder) LimitChanged(gateway.LimitChange)     {}
 func (attemptRecorder) Dialed(string, error)                 {}
 func (attemptRecorder) Abandoned(string, bool)               {}
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -199,17 +199,19 @@
 	self := discovery.Member{Address: s.PeerAddress, DataCentre: s.DataCentre, Start: h.incarnation, CPUPercent: s.asPeer().CPUPercent}
 	machine := discovery.NewMachine(self, s.Seeds, now(), h.rng)
 	return discoveryagent.New(discoveryagent.Options{
-		PeerAddress:    s.PeerAddress,
-		Start:          h.incarnation,
-		Store:          platform.NewStore(s.StoreAddress, now, nil),
-		Now:            now,
-		Publish:        h.publish,
-		PublishPeers:   h.publishPeers,
-		PeerClient:     h.peers,
-		AnswerPart:     h.gateway.ServePart,
-		Suspects:       h.gateway.SuspectHints,
-		RecordSuspects: h.gateway.MergeSuspectHints,
-		Log:            h.log,
+		PeerAddress:      s.PeerAddress,
+		Start:            h.incarnation,
+		Store:            platform.NewStore(s.StoreAddress, now, nil),
+		Now:              now,
+		Publish:          h.publish,
+		PublishPeers:     h.publishPeers,
+		PeerClient:       h.peers,
+		AnswerPart:       h.gateway.ServePart,
+		Suspects:         h.gateway.SuspectHints,
+		RecordSuspects:   h.gateway.MergeSuspectHints,
+		RateLimits:       h.gateway.RateLimitHints,
+		RecordRateLimits: h.gateway.MergeRateLimitHints,
+		Log:              h.log,
 	}, machine)
 }
 
--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -20,6 +20,7 @@
 	eventPart     = "part answered"
 	eventStep     = "step"
 	eventSuspect  = "request may crash replicas"
+	eventLimit    = "rate limit of replica changed"
 )
 
 // eventBelief is the value of the field event on log lines about a change in what the
@@ -61,9 +62,9 @@
 	// ordinaryLines and inputLines are used only by that goroutine.
 	ordinaryLines, inputLines lineLimiter
 
-	// mu guards suspectLines.
-	mu           sync.Mutex
-	suspectLines lineLimiter
+	// mu guards the fields below.
+	mu                       sync.Mutex
+	suspectLines, limitLines lineLimiter
 }
 
 func newRecorder(log zerolog.Logger, counters *telemetry.Counters, now func() time.Duration) *recorder {
@@ -71,6 +72,7 @@
 	r.ordinaryLines = lineLimiter{perSecond: summaryLinesPerSecond, burst: summaryLineBurst, tokens: summaryLineBurst}
 	r.inputLines = lineLimiter{perSecond: inputLinesPerSecond, burst: inputLineBurst, tokens: inputLineBurst}
 	r.suspectLines = lineLimiter{perSecond: inputLinesPerSecond, burst: inputLineBurst, tokens: inputLineBurst}
+	r.limitLines = lineLimiter{perSecond: inputLinesPerSecond, burst: inputLineBurst, tokens: inputLineBurst}
 	go r.logSummaries()
 	return r
 }
@@ -233,6 +235,19 @@
 	line.Msg(eventSuspect)
 }
 
+// LimitChanged implements gateway.Recorder.
+func (r *recorder) LimitChanged(l gateway.LimitChange) {
+	r.counters.Inc(telemetry.RateLimitChanges)
+	r.mu.Lock()
+	allowed := r.limitLines.allow(r.now(), 1)
+	r.mu.Unlock()
+	if !allowed {
+		r.counters.Inc(telemetry.SummariesSkipped)
+		return
+	}
+	r.log.Info().Str("event", eventBelief).Str("replica", l.Replica).Float64("per_s", l.PerSecond).Bool("from_peer", l.FromPeer).Msg(eventLimit)
+}
+
 // Abandoned implements forward.Observer.
 func (r *recorder) Abandoned(_ string, unacknowledged bool) {
 	r.counters.Inc(telemetry.ConnectionsAbandoned)
--- a/internal/gateway/divided_query_test.go
+++ b/internal/gateway/divided_query_test.go
@@ -30,6 +30,7 @@
 func (nopRecorder) AttemptEnded(result.Code)             {}
 func (nopRecorder) QueryEvent(query.Event)               {}
 func (nopRecorder) SuspectChanged(gateway.SuspectChange) {}
+func (nopRecorder) LimitChanged(gateway.LimitChange)     {}
 
 // countingSender answers attempts at once and counts them by replica.
 type countingSender struct {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -209,6 +209,10 @@
 	if x.stages.Sent == 0 {
 		x.stages.Sent = sent - x.started
 	}
+	if !x.g.shared.takeRateLimit(sent, req.Endpoint) {
+		x.attemptRefused(req.RefusedReply(result.EndpointRateLimit))
+		return
+	}
 	attempt := x.g.shared.attemptSent(sent, x.route.Name, &req)
 	x.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := x.g.cfg.Now()
@@ -221,6 +225,9 @@
 			x.crashed.Store(true)
 			x.g.recordCrashes(now, blamed)
 		}
+		if x.g.shared.learnRateLimit(now, &reply) {
+			x.g.cfg.Recorder.LimitChanged(LimitChange{Replica: reply.Endpoint, PerSecond: reply.RateLimit.PerSecond})
+		}
 		x.g.cfg.Recorder.AttemptEnded(reply.Code)
 		select {
 		case x.replies <- timedReply{Reply: reply, took: now - sent}:
@@ -229,6 +236,17 @@
 	})
 }
 
+// attemptRefused passes on the refusal of an attempt that was not sent.
+func (x *execution) attemptRefused(reply dispatch.Reply) {
+	x.g.cfg.Recorder.AttemptEnded(reply.Code)
+	go func() {
+		select {
+		case x.replies <- timedReply{Reply: reply}:
+		case <-x.done:
+		}
+	}()
+}
+
 // finish turns the answer of the query state machine into the caller's answer
 // and records the end of the request.
 func (x *execution) finish(a *query.Answer) Answer {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	AttemptEnded(code result.Code)
 	QueryEvent(e query.Event)
 	SuspectChanged(s SuspectChange)
+	LimitChanged(l LimitChange)
 }
 
 // SuspectChange reports a change in the suspicion that a request crashes
@@ -209,6 +210,10 @@
 	if plan == nil {
 		return g.refuse(r, route, result.NoReplica)
 	}
+	divided := len(route.Shards) > 0 && suspicion == view.NotSuspected && g.groupCount(route) > 1
+	if !divided && g.shared.tooFewAllowed(g.cfg.Now(), route, plan) {
+		return g.refuse(r, route, result.EndpointRateLimit)
+	}
 	allowLate := true
 	if len(route.Shards) > 0 {
 		admitted, overloaded := g.shared.admit(g.cfg.Now(), route)
--- a/internal/gateway/host_sharing.go
+++ b/internal/gateway/host_sharing.go
@@ -73,7 +73,27 @@
 // service. The caller must hold mu.
 func (s *sharedState) updateHostsByService() {
 	s.hostsByService = s.hostsByDividedService(s.view)
+	s.groupsByService = s.groupsByDividedService(s.view)
 	s.resizeBudgets()
+	s.limits.SendersChanged()
+}
+
+// groupsByDividedService returns, for each shard of a divided index, the number of
+// groups of the index. The caller must hold mu.
+func (s *sharedState) groupsByDividedService(v *routing.View) map[string]int {
+	out := make(map[string]int)
+	if v.Config == nil {
+		return out
+	}
+	for i := range v.Config.Routes {
+		shards := v.Config.Routes[i].Shards
+		if groups := s.peers.Groups(len(shards)); groups > 1 {
+			for _, service := range shards {
+				out[service] = groups
+			}
+		}
+	}
+	return out
 }
 
 // ownerMargin is the factor by which the number of owners is multiplied when a
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peers.SetPeers(peers)
+	s.limits.SendersChanged()
 	if s.view != nil {
 		s.updateHostsByService()
 	}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -80,6 +80,7 @@
 		for _, to := range hosts {
 			if from != to {
 				to.MergeSuspectHints(from.SuspectHints())
+				to.MergeRateLimitHints(from.RateLimitHints())
 			}
 		}
 	}
--- a/internal/gateway/rate_limit_test.go
+++ b/internal/gateway/rate_limit_test.go
@@ -199,3 +199,24 @@
 		})
 	}
 }
+
+// If all replicas name limits that are below the demand, callers are refused at once, and
+// the index is served about as often as the limits allow, with enough shards.
+func TestDemandOverAllLimitsIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limited, end, limit = 2 * time.Second, 16 * time.Second, 6.0
+		g := NewWithT(t)
+		d := limitCases[0].deployment
+		f := startLimitedFleet(d, end)
+		limits := f.limitReplicas(d.replicasPerShard+1, limit)
+		time.Sleep(limited)
+		f.replicas.setLimits(limits)
+		time.Sleep(end - limited + drainTime)
+		f.expectLimitsObeyed(t, limits, limited+limitGrace, end)
+		allowedQueries := limit * float64(d.replicasPerShard) * (end - limited).Seconds()
+		index := f.answers["/index/a"]
+		g.Expect(float64(index[result.Complete]+index[result.Partial])).To(BeNumerically(">=", allowedQueries/2), "%v", index)
+		g.Expect(index[result.EndpointRateLimit]).To(BeNumerically(">", 0))
+		g.Expect(f.slowest).To(BeNumerically("<", d.target/2), "the slowest refusal")
+	})
+}
--- a/internal/gateway/shared_state.go
+++ b/internal/gateway/shared_state.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
+	"github.com/gypsumlug/gypsumlug/internal/ratelimit"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/split"
@@ -42,8 +43,11 @@
 	// is divided, for the services in groups that this host owns. The budget of
 	// any other service is divided among all hosts.
 	hostsByService map[string]int
-	budgets        map[string]*balance.Budget
-	hedgeLatencies map[string]*balance.QuantileEstimator
+	// groupsByService is the number of groups of the divided index that a service is a
+	// shard of.
+	groupsByService map[string]int
+	budgets         map[string]*balance.Budget
+	hedgeLatencies  map[string]*balance.QuantileEstimator
 	// throttles holds one throttle for each index, keyed by the index's first
 	// shard.
 	throttles map[string]*balance.Throttle
@@ -52,10 +56,12 @@
 	// attempts holds the attempts that have no response.
 	attempts *quarantine.Attempts
 	peers    *split.PeerTable
+	// limits holds the rate limits that replicas name.
+	limits *ratelimit.Table
 }
 
 func newSharedState(dataCentre string, self split.Peer, rng *rand.Rand) *sharedState {
-	return &sharedState{
+	s := &sharedState{
 		rng:            rng,
 		replicas:       balance.NewReplicaTable(dataCentre),
 		hosts:          1,
@@ -66,6 +72,8 @@
 		attempts:       quarantine.NewAttempts(),
 		peers:          split.NewPeerTable(self),
 	}
+	s.limits = ratelimit.NewTable(self.Address, s.sendingHosts)
+	return s
 }
 
 // admit reports whether to start a query of the route's index, and whether its
@@ -83,10 +91,27 @@
 func (s *sharedState) tooFewReachable(now time.Duration, route *routing.Route, plan *routing.Plan) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return tooFewUsable(route, plan, func(key string) bool { return !s.replicas.Unreachable(now, key) })
+}
+
+// tooFewAllowed reports whether the rate limits of replicas leave so few shards of a
+// plan that the route's LeastShards cannot be met now.
+func (s *sharedState) tooFewAllowed(now time.Duration, route *routing.Route, plan *routing.Plan) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limits.Active() {
+		return false
+	}
+	return tooFewUsable(route, plan, func(key string) bool { return s.limits.Allows(now, key) })
+}
+
+// tooFewUsable reports whether fewer shards of a plan than the route's LeastShards
+// have a usable replica. A shard without replicas does not count as usable.
+func tooFewUsable(route *routing.Route, plan *routing.Plan, usable func(key string) bool) bool {
 	shards := plan.Index.Snapshots[0].Shards
 	spare := len(shards) - max(route.LeastShards, 1)
 	for i := range shards {
-		if slices.ContainsFunc(shards[i].Replicas, func(key string) bool { return !s.replicas.Unreachable(now, key) }) {
+		if slices.ContainsFunc(shards[i].Replicas, usable) {
 			continue
 		}
 		if spare--; spare < 0 {
@@ -133,6 +158,7 @@
 		}
 	}
 	s.replicas.SetReplicas(v.Replicas)
+	s.limits.Retain(func(key string) bool { return v.Replicas[key] != nil })
 	s.view = v
 	s.updateHostsByService()
 	return blamed
@@ -265,7 +291,7 @@
 func (r requestState) Pick(now time.Duration, candidates, exclude []string) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	excluded := func(key string) bool { return slices.Contains(exclude, key) }
+	excluded := func(key string) bool { return slices.Contains(exclude, key) || !r.limits.Allows(now, key) }
 	return r.replicas.Pick(now, r.route.Name, candidates, excluded, r.rng)
 }
 
--- a/internal/quarantine/hints.go
+++ b/internal/quarantine/hints.go
@@ -86,7 +86,7 @@
 	for i, r := range records {
 		hints[i] = peerwire.SuspectHint{
 			Fingerprint: r.fingerprint,
-			Endpoints:   slices.Clone(r.endpoints),
+			Endpoints:   slices.Clone(r.endpoints[:min(len(r.endpoints), minProofEndpoints)]),
 			Proven:      r.rank == proven,
 			Cleared:     r.rank == cleared,
 			TTL:         r.expires - t.now,
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -25,7 +25,7 @@
 // the backoff once every replica was tried.
 func isFreeRetry(code result.Code) bool {
 	switch code {
-	case result.ConnectFailed, result.ConnectionSilent, result.SnapshotGone, result.RangeNotHeld, result.UnknownEndpoint:
+	case result.ConnectFailed, result.ConnectionSilent, result.SnapshotGone, result.RangeNotHeld, result.UnknownEndpoint, result.EndpointRateLimit:
 		return true
 	default:
 		return false
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -129,6 +129,8 @@
 	HeaderTooLarge Code = 346
 	// RequestUnreadable: what came is not a request, or ended before it was one.
 	RequestUnreadable Code = 347
+	// EndpointRateLimit: this host's share of the endpoint's rate limit is used up.
+	EndpointRateLimit Code = 348
 	// OutcomeUnknown: the request was sent and no outcome is known.
 	OutcomeUnknown Code = 400
 	// IssuerUnreachable: the permit's host cannot be reached.
--- a/internal/split/owners.go
+++ b/internal/split/owners.go
@@ -98,3 +98,25 @@
 	}
 	return out
 }
+
+// Hosts returns the addresses of all known hosts, this one included.
+func (t *PeerTable) Hosts() []string {
+	var addresses []string
+	for _, hosts := range t.hostsByCentre {
+		for _, h := range hosts {
+			addresses = append(addresses, h.address)
+		}
+	}
+	return addresses
+}
+
+// Owners returns the addresses of the owners of a group in all data centres.
+func (t *PeerTable) Owners(group, groups int) []string {
+	var addresses []string
+	for centre := range t.hostsByCentre {
+		for _, h := range t.owners(centre, group, groups) {
+			addresses = append(addresses, h.address)
+		}
+	}
+	return addresses
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -143,6 +143,9 @@
 	// SuspicionChanges counts changes in the degree to which requests are suspected
 	// of crashing endpoints.
 	SuspicionChanges = "gypsumlug_suspects_total"
+	// RateLimitChanges counts changes of what is believed of the rate limits that
+	// replicas name.
+	RateLimitChanges = "gypsumlug_rate_limits_total"
 )
 
 // Gauges of the configuration and the view of a host.
