Describe a request once for the quarantine, without keeping its body

Attempts without a response are remembered for 10 s; they held the whole message, up to the bound of a body each. Now they hold its fingerprint and what the log line says. Serve is split where it checks for capacity.

--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -228,9 +228,9 @@
 		return
 	}
 	line := r.log.Info().Str("event", eventBelief).Uint64("fingerprint", uint64(s.Fingerprint)).Stringer("degree", s.Degree)
-	if s.RequestID != "" {
-		line.Str("request", s.RequestID).Str("replica", s.Replica).
-			Str("to", s.Host).Str("path", s.Path).Str("from", s.Caller).Int("body_bytes", s.BodyBytes)
+	if r := s.Request; r != nil {
+		line.Str("request", r.ID).Str("replica", s.Replica).
+			Str("to", r.Host).Str("path", r.Path).Str("from", r.Caller).Int("body_bytes", r.BodyBytes)
 	}
 	line.Msg(eventSuspect)
 }
--- a/internal/entryhost/recorder_test.go
+++ b/internal/entryhost/recorder_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gypsumlug/gypsumlug/internal/gateway"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 	"github.com/gypsumlug/gypsumlug/internal/telemetry"
@@ -90,7 +91,8 @@
 	log := &testsuite.SyncBuffer{}
 	r := newRecorder(telemetry.NewLogger(log, "info"), telemetry.NewCounters(), func() time.Duration { return 0 })
 	r.SuspectChanged(gateway.SuspectChange{
-		Fingerprint: 7, Degree: view.Suspected, RequestID: "a", Replica: "r1", Host: "x.example", Path: "/p/1", Caller: "100.64.0.7", BodyBytes: 12,
+		Fingerprint: 7, Degree: view.Suspected, Replica: "r1",
+		Request: &quarantine.Request{ID: "a", Host: "x.example", Path: "/p/1", Caller: "100.64.0.7", BodyBytes: 12},
 	})
 	g.Expect(log.String()).To(And(
 		ContainSubstring("to=x.example"), ContainSubstring("path=/p/1"), ContainSubstring("from=100.64.0.7"), ContainSubstring("body_bytes=12"),
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -102,7 +102,7 @@
 			UnlimitedRetries: len(route.Shards) > 0,
 		},
 		Deadline:  now + timeLimit,
-		Suspicion: g.shared.suspicion(now, &r.Message),
+		Suspicion: g.shared.suspicion(now, r.description),
 		Replicas:  state,
 		Budgets:   state,
 		Rand:      rand.New(rand.NewPCG(g.cfg.Incarnation, uint64(now))),
@@ -193,7 +193,7 @@
 		x.g.cfg.Sender.Cancel(c.Key)
 	}
 	if a.SuspicionCleared {
-		x.g.shared.clearSuspect(x.g.cfg.Now(), &x.request.Message)
+		x.g.shared.clearSuspect(x.g.cfg.Now(), x.request.description)
 	}
 	x.trace.addActions(x.g.cfg.Now()-x.started, &a)
 	for _, e := range a.Events {
@@ -213,7 +213,7 @@
 		x.attemptRefused(req.RefusedReply(result.EndpointRateLimit))
 		return
 	}
-	attempt := x.g.shared.attemptSent(sent, x.route.Name, &req)
+	attempt := x.g.shared.attemptSent(sent, x.route.Name, &req, x.request.description)
 	x.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := x.g.cfg.Now()
 		answered := &x.answered[int(req.Range.Start)]
@@ -263,7 +263,7 @@
 // replica ended under it.
 func (x *execution) recordCompletion(a *query.Answer) {
 	if a.Covered == a.Shards && !x.crashed.Load() {
-		x.g.shared.requestCompleted(x.g.cfg.Now(), &x.request.Message)
+		x.g.shared.requestCompleted(x.g.cfg.Now(), x.request.description)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/balance"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/query"
 	"github.com/gypsumlug/gypsumlug/internal/result"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
@@ -47,14 +48,9 @@
 type SuspectChange struct {
 	Fingerprint view.Fingerprint
 	Degree      view.Suspicion
-	// The fields below are empty if the change was learned from another host.
-	RequestID string
-	Replica   string
-	// Host, Path, Caller and BodyBytes describe the request: its authority, its
-	// target without the query, the address of its caller and the size of its
-	// body.
-	Host, Path, Caller string
-	BodyBytes          int
+	// Request and Replica are empty if the change was learned from another host.
+	Request *quarantine.Request
+	Replica string
 }
 
 // Request is a caller's request.
@@ -73,6 +69,9 @@
 	// disconnected if the host is short of CPU time. If it is nil, the context alone
 	// tells.
 	Departed func() bool
+
+	// description is set before the request is served.
+	description *quarantine.Request
 }
 
 // callerLeft reports whether the caller of a request with the context has disconnected.
@@ -198,7 +197,8 @@
 		return g.refuse(r, route, result.CallerGone)
 	}
 	r.Message.Once = !route.Repeatable
-	suspicion := g.shared.suspicion(g.cfg.Now(), &r.Message)
+	r.description = describe(&r.Message)
+	suspicion := g.shared.suspicion(g.cfg.Now(), r.description)
 	if suspicion == view.Quarantined {
 		return g.refuse(r, route, result.Quarantined)
 	}
@@ -210,9 +210,10 @@
 	if plan == nil {
 		return g.refuse(r, route, result.NoReplica)
 	}
-	divided := len(route.Shards) > 0 && suspicion == view.NotSuspected && g.groupCount(route) > 1
-	if !divided && g.shared.tooFewAllowed(g.cfg.Now(), route, plan) {
-		return g.refuse(r, route, result.EndpointRateLimit)
+	// A suspect request is not divided, so that it runs on one replica at a time.
+	groups := 1
+	if suspicion == view.NotSuspected {
+		groups = g.groupCount(route)
 	}
 	allowLate := true
 	if len(route.Shards) > 0 {
@@ -221,17 +222,31 @@
 			return g.refuse(r, route, result.DeadlineTooShort)
 		}
 		allowLate = !overloaded
-		// A suspect request is not divided, so that it runs on one replica at a
-		// time.
-		if groups := g.groupCount(route); groups > 1 && suspicion == view.NotSuspected {
-			return g.serveDivided(ctx, r, v, route, plan, groups)
-		}
-		if g.shared.tooFewReachable(g.cfg.Now(), route, plan) {
-			return g.refuse(r, route, result.NoReplica)
-		}
 	}
-	exec := g.newExecution(r, v, route, plan, allowLate)
-	return exec.serve(ctx)
+	if code := g.refusalForCapacity(route, plan, groups > 1); code != 0 {
+		return g.refuse(r, route, code)
+	}
+	if groups > 1 {
+		return g.serveDivided(ctx, r, v, route, plan, groups)
+	}
+	return g.newExecution(r, v, route, plan, allowLate).serve(ctx)
+}
+
+// refusalForCapacity returns the code to refuse a request with because too few shards
+// can be reached or may be sent to, or zero. The hosts that serve the parts of a divided
+// query decide for themselves.
+func (g *Gateway) refusalForCapacity(route *routing.Route, plan *routing.Plan, divided bool) result.Code {
+	now := g.cfg.Now()
+	switch {
+	case divided:
+		return 0
+	case g.shared.tooFewAllowed(now, route, plan):
+		return result.EndpointRateLimit
+	case len(route.Shards) > 0 && g.shared.tooFewReachable(now, route, plan):
+		return result.NoReplica
+	default:
+		return 0
+	}
 }
 
 // Refuse records and returns the refusal of a request that could not be read.
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -33,7 +33,8 @@
 	}
 	g.running.Add(1)
 	defer g.running.Add(-1)
-	return g.serveShards(ctx, &Request{Message: r.Message, Departed: r.Departed}, v, route, plan, r.Shards, r.Target)
+	request := &Request{Message: r.Message, Departed: r.Departed, description: describe(&r.Message)}
+	return g.serveShards(ctx, request, v, route, plan, r.Shards, r.Target)
 }
 
 // serveShards serves some shards of a route from this host within a time limit.
--- a/internal/gateway/shared_state.go
+++ b/internal/gateway/shared_state.go
@@ -211,8 +211,8 @@
 }
 
 // attemptSent records that an attempt was sent to its replica.
-func (s *sharedState) attemptSent(now time.Duration, route string, req *dispatch.Request) sentAttempt {
-	a := sentAttempt{blame: &quarantine.Attempt{Endpoint: req.Endpoint, Message: req.Message, Isolated: req.Suspect}}
+func (s *sharedState) attemptSent(now time.Duration, route string, req *dispatch.Request, r *quarantine.Request) sentAttempt {
+	a := sentAttempt{blame: &quarantine.Attempt{Endpoint: req.Endpoint, Request: r, Isolated: req.Suspect}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.load = s.replicas.AttemptSent(now, route, req.Endpoint)
@@ -246,7 +246,7 @@
 		return nil
 	}
 	if s.attempts.Answered(a) && reply.Outcome == dispatch.OK {
-		s.suspects.RecordRecovery(now, []view.Fingerprint{fingerprint(a.Message)})
+		s.suspects.RecordRecovery(now, []view.Fingerprint{a.Request.Fingerprint})
 	}
 	if reply.Code == result.UnknownEndpoint && s.takesRequests(a.Endpoint) {
 		return s.attempts.EndpointEnded(now, a.Endpoint)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -17,17 +17,15 @@
 	maxHintsPerHeartbeat = 3
 )
 
-// fingerprint identifies repeats of a request: same method, host, path and body.
-// The query string may differ, and so may the address of the caller, since what
-// crashes a replica is the content.
-func fingerprint(m *dispatch.Message) view.Fingerprint {
-	return quarantine.Fingerprint(m.Host+targetPath(m), m.Method+" "+string(m.Body))
-}
-
-// targetPath returns the message's target without its query.
-func targetPath(m *dispatch.Message) string {
+// describe returns the description of a message for the quarantine. Repeats of a
+// request have the same method, host, path and body. The query string may differ, and
+// so may the address of the caller, since what crashes a replica is the content.
+func describe(m *dispatch.Message) *quarantine.Request {
 	path, _, _ := strings.Cut(m.Target, "?")
-	return path
+	return &quarantine.Request{
+		Fingerprint: quarantine.Fingerprint(m.Host+path, m.Method+" "+string(m.Body)),
+		ID:          m.ID, Host: m.Host, Path: path, Caller: m.Caller, BodyBytes: len(m.Body),
+	}
 }
 
 // SuspectHints returns the suspect requests to report to other hosts.
@@ -52,48 +50,43 @@
 // recordCrashes records that replicas crashed while they had these attempts.
 func (g *Gateway) recordCrashes(now time.Duration, blamed []*quarantine.Attempt) {
 	for _, a := range blamed {
-		m := a.Message
-		fp := fingerprint(m)
-		degree := g.shared.recordCrash(now, fp, a)
-		g.cfg.Recorder.SuspectChanged(SuspectChange{
-			Fingerprint: fp, Degree: degree, RequestID: m.ID, Replica: a.Endpoint,
-			Host: m.Host, Path: targetPath(m), Caller: m.Caller, BodyBytes: len(m.Body),
-		})
+		degree := g.shared.recordCrash(now, a)
+		g.cfg.Recorder.SuspectChanged(SuspectChange{Fingerprint: a.Request.Fingerprint, Degree: degree, Request: a.Request, Replica: a.Endpoint})
 	}
 }
 
-func (s *sharedState) recordCrash(now time.Duration, fp view.Fingerprint, a *quarantine.Attempt) view.Suspicion {
+func (s *sharedState) recordCrash(now time.Duration, a *quarantine.Attempt) view.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	fp := a.Request.Fingerprint
 	s.suspects.RecordCrash(now, view.Crash{Endpoint: a.Endpoint, InFlight: []view.Fingerprint{fp}, Isolated: a.Isolated})
 	return s.suspects.Degree(fp)
 }
 
 // requestCompleted records that a request completed, and no replica ended under it.
-func (s *sharedState) requestCompleted(now time.Duration, m *dispatch.Message) {
-	fp := fingerprint(m)
+func (s *sharedState) requestCompleted(now time.Duration, r *quarantine.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.RecordCompletion(now, fp)
+	s.suspects.RecordCompletion(now, r.Fingerprint)
 }
 
 // clearSuspect records that a suspect request completed while it ran alone on a
 // replica.
-func (s *sharedState) clearSuspect(now time.Duration, m *dispatch.Message) {
+func (s *sharedState) clearSuspect(now time.Duration, r *quarantine.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.RecordRecovery(now, []view.Fingerprint{fingerprint(m)})
+	s.suspects.RecordRecovery(now, []view.Fingerprint{r.Fingerprint})
 }
 
-// suspicion returns the current suspicion of a message.
-func (s *sharedState) suspicion(now time.Duration, m *dispatch.Message) view.Suspicion {
+// suspicion returns the current suspicion of a request.
+func (s *sharedState) suspicion(now time.Duration, r *quarantine.Request) view.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.suspects.Len() == 0 {
 		return view.NotSuspected
 	}
 	s.suspects.Tick(now)
-	return s.suspects.Degree(fingerprint(m))
+	return s.suspects.Degree(r.Fingerprint)
 }
 
 // mergeHint merges a hint from another host. It returns the suspicion of the
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/view"
 )
 
 const (
@@ -16,11 +16,23 @@
 	maxLostPerEndpoint = 16
 )
 
+// Request describes a request without its content.
+type Request struct {
+	Fingerprint view.Fingerprint
+	// ID is the request ID chosen by the caller.
+	ID string
+	// Host, Path and Caller are its authority, its target without the query and the
+	// address of its caller.
+	Host, Path, Caller string
+	// BodyBytes is the size of its body.
+	BodyBytes int
+}
+
 // Attempt is an attempt at an endpoint.
 type Attempt struct {
 	Endpoint string
-	Message  *dispatch.Message
-	// Isolated means that the message was a suspect when the attempt was sent.
+	Request  *Request
+	// Isolated means that the request was a suspect when the attempt was sent.
 	Isolated bool
 
 	lost   bool
