--- /dev/null
+++ b/internal/gateway/request_state.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumlug/gypsumlug/internal/config"
+	"github.com/gypsumlug/gypsumlug/internal/routing"
+)
+
+// requestState gives the query state machine of one request access to the
+// shared state.
+type requestState struct {
+	*sharedState
+	route    *routing.Route
+	services []string
+	now      func() time.Duration
+}
+
+// Eligible implements query.ReplicaSelector.
+func (r requestState) Eligible(_ time.Duration, key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replicas.Available(key)
+}
+
+// Pick implements query.ReplicaSelector.
+func (r requestState) Pick(now time.Duration, candidates, exclude []string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	excluded := func(key string) bool { return slices.Contains(exclude, key) || !r.limits.Allows(now, key) }
+	return r.replicas.Pick(now, r.route.Name, candidates, excluded, r.rng)
+}
+
+// HedgeDelay implements query.ReplicaSelector.
+func (r requestState) HedgeDelay(*config.Service) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.hedgeLatencies[r.route.Name]
+	if q == nil {
+		return r.route.Timeout // no attempt of the route has succeeded yet: don't hedge
+	}
+	return min(max(q.Value(), r.route.Target/minHedgeDelayDivisor), r.route.Target/maxHedgeDelayDivisor)
+}
+
+// CountPrimary implements query.Budgets.
+func (r requestState) CountPrimary(shard int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(r.now(), r.services[shard]).CountRequest()
+}
+
+// TakeHedge implements query.Budgets.
+func (r requestState) TakeHedge(shard int) bool { return r.takeExtraAttempt(shard) }
+
+// TakeRetry implements query.Budgets.
+func (r requestState) TakeRetry(shard int) bool { return r.takeExtraAttempt(shard) }
+
+func (r requestState) takeExtraAttempt(shard int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	return r.budget(now, r.services[shard]).Take(now)
+}
