--- a/internal/entryhost/recorder.go
+++ b/internal/entryhost/recorder.go
@@ -217,14 +217,22 @@
 	}
 }
 
+// allowLine reports whether one more line is within a limit that mu guards. A line that
+// is not is counted.
+func (r *recorder) allowLine(l *lineLimiter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.allow(r.now(), 1) {
+		return true
+	}
+	r.counters.Inc(telemetry.SummariesSkipped)
+	return false
+}
+
 // SuspectChanged implements gateway.Recorder.
 func (r *recorder) SuspectChanged(s gateway.SuspectChange) {
 	r.counters.Inc(telemetry.SuspicionChanges)
-	r.mu.Lock()
-	allowed := r.suspectLines.allow(r.now(), 1)
-	r.mu.Unlock()
-	if !allowed {
-		r.counters.Inc(telemetry.SummariesSkipped)
+	if !r.allowLine(&r.suspectLines) {
 		return
 	}
 	line := r.log.Info().Str("event", eventBelief).Uint64("fingerprint", uint64(s.Fingerprint)).Stringer("degree", s.Degree)
@@ -238,11 +246,7 @@
 // LimitChanged implements gateway.Recorder.
 func (r *recorder) LimitChanged(l gateway.LimitChange) {
 	r.counters.Inc(telemetry.RateLimitChanges)
-	r.mu.Lock()
-	allowed := r.limitLines.allow(r.now(), 1)
-	r.mu.Unlock()
-	if !allowed {
-		r.counters.Inc(telemetry.SummariesSkipped)
+	if !r.allowLine(&r.limitLines) {
 		return
 	}
 	r.log.Info().Str("event", eventBelief).Str("replica", l.Replica).Float64("per_s", l.PerSecond).Bool("from_peer", l.FromPeer).Msg(eventLimit)
--- a/internal/gateway/host_sharing.go
+++ b/internal/gateway/host_sharing.go
@@ -70,10 +70,10 @@
 }
 
 // updateHostsByService recomputes how many hosts share the allowance of each
-// service. The caller must hold mu.
+// service, and which services are shards of divided indexes. The caller must hold mu.
 func (s *sharedState) updateHostsByService() {
-	s.hostsByService = s.hostsByDividedService(s.view)
 	s.groupsByService = s.groupsByDividedService(s.view)
+	s.hostsByService = s.hostsByOwnedService()
 	s.resizeBudgets()
 	s.limits.SendersChanged()
 }
@@ -100,24 +100,13 @@
 // budget is divided, because other hosts also send to a group's replicas.
 const ownerMargin = 2
 
-// hostsByDividedService returns, for each service in a group that this host
-// owns, the number of hosts that share the service's allowance. The caller must
-// hold mu.
-func (s *sharedState) hostsByDividedService(v *routing.View) map[string]int {
+// hostsByOwnedService returns, for each service in a group that this host owns, the
+// number of hosts that share the service's allowance. The caller must hold mu.
+func (s *sharedState) hostsByOwnedService() map[string]int {
 	out := make(map[string]int)
-	if v.Config == nil {
-		return out
-	}
-	for i := range v.Config.Routes {
-		shards := v.Config.Routes[i].Shards
-		groups := s.peers.Groups(len(shards))
-		if groups == 1 {
-			continue
-		}
-		for _, service := range shards {
-			if group := split.GroupOf(service, groups); s.peers.Owns(group, groups) {
-				out[service] = min(ownerMargin*s.peers.OwnerCount(groups), s.hosts)
-			}
+	for service, groups := range s.groupsByService {
+		if s.peers.Owns(split.GroupOf(service, groups), groups) {
+			out[service] = min(ownerMargin*s.peers.OwnerCount(groups), s.hosts)
 		}
 	}
 	return out
