Add up crashes of one request at hosts that do not know of each other

On a large fleet a request crashes replicas by way of several hosts before any of them hears of the others: nowhere was it a suspect that ran alone, so that nothing was proven until one more replica ended at a host that had heard. Three crashes, not all at once, now prove a request that has not completed lately; hosts add up what they hear.

--- a/internal/gateway/shared_state.go
+++ b/internal/gateway/shared_state.go
@@ -64,7 +64,7 @@
 		budgets:        make(map[string]*balance.Budget),
 		hedgeLatencies: make(map[string]*balance.QuantileEstimator),
 		throttles:      make(map[string]*balance.Throttle),
-		suspects:       quarantine.New(quarantine.Config{MaxRequests: maxSuspects}),
+		suspects:       quarantine.New(quarantine.Config{MaxRequests: maxSuspects, ProveByCount: true}),
 		attempts:       quarantine.NewAttempts(),
 		peers:          split.NewPeerTable(self),
 	}
--- a/internal/quarantine/hints.go
+++ b/internal/quarantine/hints.go
@@ -38,6 +38,10 @@
 		r.addEndpoints(received.endpoints)
 		r.rank = received.rank
 		r.expires = max(r.expires, received.expires)
+		if r.rank == suspect && t.provenByCount(r) {
+			r.rank = proven
+			r.expires = t.now + t.timeToLive(proven)
+		}
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -38,7 +38,7 @@
 	maxEndpoints      = 3
 
 	// crashSpacing is the least time from the first crash to one that is a proof
-	// against a request that completed recently.
+	// against a request that completed recently, or was not alone.
 	crashSpacing = 300 * time.Millisecond
 
 	defaultSuspectTTL    = 5 * time.Minute
@@ -56,6 +56,10 @@
 	QuarantineTTL time.Duration
 	// MaxRequests bounds the number of recorded requests.
 	MaxRequests int
+	// ProveByCount makes the crashes of maxEndpoints endpoints a proof against a
+	// request that has not completed lately, though it was not alone on any. It
+	// requires that completions are recorded.
+	ProveByCount bool
 }
 
 func (c Config) withDefaults() Config {
@@ -147,7 +151,7 @@
 	}
 	r.rank = max(r.rank, suspect)
 	r.addEndpoint(endpoint)
-	if alone && t.provesGuilt(r) {
+	if alone && t.provesGuilt(r) || t.provenByCount(r) {
 		r.rank = proven
 	}
 	r.expires = t.now + t.timeToLive(r.rank)
@@ -171,6 +175,14 @@
 	}
 }
 
+// provenByCount reports whether so many endpoints crashed under a request that has not
+// completed lately that it must be the cause. It catches a request that many hosts run
+// before they hear of each other's crashes.
+func (t *Tracker) provenByCount(r *record) bool {
+	spaced := t.now-r.suspectSince >= crashSpacing // not one fault of many endpoints
+	return t.cfg.ProveByCount && len(r.endpoints) == maxEndpoints && spaced && !t.completions.contains(t.now, r.fingerprint)
+}
+
 // timeToLive returns how long a record is kept after its last crash.
 func (t *Tracker) timeToLive(r rank) time.Duration {
 	if r == proven {
