--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -22,7 +22,6 @@
 package ratelimit
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -75,8 +74,10 @@
 	limits  map[string]*limit
 	// active is the number of limits that apply.
 	active int
-	// lastHint is the endpoint of the last hint given.
-	lastHint string
+	// order holds the endpoints in the order in which they became known, and nextHint
+	// is the index of the one that was last considered for a hint.
+	order    []string
+	nextHint int
 }
 
 // NewTable returns a table without limits for the host with the address self. senders
@@ -105,6 +106,7 @@
 	if l == nil {
 		l = &limit{}
 		t.limits[endpoint] = l
+		t.order = append(t.order, endpoint)
 	}
 	l.namedAt = namedAt
 	l.nextTry = namedAt + staleAfter + t.jitter(endpoint)
@@ -193,10 +195,11 @@
 // rank returns the number of senders that come before this host in the order in which
 // they get a share.
 func (t *Table) rank(endpoint string, senders []string) int {
-	own := xxhash.Sum64String(t.self + " " + endpoint)
+	key := xxhash.Sum64String(endpoint)
+	own := rendezvousWeight(t.self, key)
 	before := 0
 	for _, s := range senders {
-		weight := xxhash.Sum64String(s + " " + endpoint)
+		weight := rendezvousWeight(s, key)
 		if weight > own || weight == own && s < t.self {
 			before++
 		}
@@ -204,28 +207,31 @@
 	return before
 }
 
+// rendezvousWeight returns the weight of a host for an endpoint with the given hash. It
+// mixes the two with the finalizer of SplitMix64.
+func rendezvousWeight(host string, endpoint uint64) uint64 {
+	x := xxhash.Sum64String(host) ^ endpoint*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // Hints returns at most n hints for other hosts, of those on which a host without a
 // share depends, in turn.
 func (t *Table) Hints(now time.Duration, n int) []Hint {
-	if len(t.limits) == 0 {
-		return nil
-	}
 	var hints []Hint
-	for endpoint, l := range t.limits {
+	for range t.order {
+		if len(hints) == n {
+			break
+		}
+		t.nextHint = (t.nextHint + 1) % len(t.order)
+		endpoint := t.order[t.nextHint]
+		l := t.limits[endpoint]
 		t.updateShare(endpoint, l)
 		if age := now - l.namedAt; !l.shared && age < staleAfter {
 			hints = append(hints, Hint{Endpoint: endpoint, PerSecond: l.perSecond, Age: age})
 		}
 	}
-	slices.SortFunc(hints, func(a, b Hint) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	start := slices.IndexFunc(hints, func(h Hint) bool { return h.Endpoint > t.lastHint })
-	if start > 0 {
-		hints = slices.Concat(hints[start:], hints[:start])
-	}
-	hints = hints[:min(n, len(hints))]
-	if len(hints) > 0 {
-		t.lastHint = hints[len(hints)-1].Endpoint
-	}
 	return hints
 }
 
@@ -254,4 +260,8 @@
 		}
 		delete(t.limits, endpoint)
 	}
+	t.order = slices.DeleteFunc(t.order, func(endpoint string) bool { return t.limits[endpoint] == nil })
+	if t.nextHint >= len(t.order) {
+		t.nextHint = 0
+	}
 }
