--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,7 +9,10 @@
 //
 // Invariants:
 //   - A request that does not cause crashes is quarantined only if two different
-//     endpoints crash while it runs on them, the second one while it runs alone.
+//     endpoints crash while it runs on them, the second one while it runs alone. If it
+//     completed lately, these crashes are crashSpacing apart, or there are three. With
+//     Config.ProveByCount, three crashes that are crashSpacing apart are a proof in
+//     company, too, unless it completed lately.
 //   - No record outlives its time to live without a new crash: a hint carries the
 //     remaining time of the sender, each hop subtracts HopCost from it, and only a
 //     crash seen on this host restarts it.
