--- a/internal/gateway/rate_limit_test.go
+++ b/internal/gateway/rate_limit_test.go
@@ -200,6 +200,8 @@
 				f.expectLimitsObeyed(t, limits, limited+limitGrace, released)
 				f.replicas.setLimits(nil)
 				time.Sleep(end - released + drainTime)
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				for path, codes := range f.answers {
 					served, other := codes[result.Complete], 0
 					for _, n := range codes {
@@ -229,6 +231,8 @@
 		time.Sleep(limited)
 		f.replicas.setLimits(limits)
 		time.Sleep(end - limited + drainTime)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.expectLimitsObeyed(t, limits, limited+limitGrace, end)
 		allowedQueries := limit * float64(d.replicasPerShard) * (end - limited).Seconds()
 		index := f.answers["/index/a"]
