--- a/review/1/main.go
+++ b/review/1/main.go
@@ -206,7 +206,7 @@
 		byName[h.Name] = h
 	}
 	for id, a := range c.answers {
-		record.Line("answered %s by %s: %d after %v", id, a.Host, a.Status, a.EndedAt.Sub(a.SentAt).Round(time.Millisecond))
+		record.Line("%s was sent to %s at %s, answered %d after %v", id, a.Host, a.SentAt.Format(time.StampMilli), a.Status, a.EndedAt.Sub(a.SentAt).Round(time.Millisecond))
 	}
 	late, lost := 0, 0
 	for _, r := range d.left {
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -153,7 +153,7 @@
 	refused, twice, mixed := 0, 0, 0
 	for _, a := range c.answers {
 		statuses[a.Status]++
-		record.Line("answered %s by %s: %d after %v, at %s", a.ID, a.Host, a.Status, a.EndedAt.Sub(a.SentAt).Round(time.Microsecond), a.EndedAt.Format(time.StampMicro))
+		record.Line("%s was sent to %s at %s, answered %d at %s", a.ID, a.Host, a.SentAt.Format(time.StampMicro), a.Status, a.EndedAt.Format(time.StampMicro))
 		switch {
 		case promises(a.Status) && len(ran[a.ID]) > 0:
 			refused++
--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -73,17 +74,25 @@
 	return l.buf.String()
 }
 
+// Ports that hosts listen on are chosen below those that the system gives to outgoing
+// connections, so that a host that starts again finds its own free.
+const firstPort, lastPort = 12000, 32000
+
+// loopback is the loopback address of this process's hosts, so that scripts that run at
+// the same time don't take each other's ports.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(250), rand.IntN(250))
+
 // FreeAddress returns a loopback address that is free for TCP and UDP.
 func FreeAddress() (string, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		address := net.JoinHostPort(loopback, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := l.Addr().String()
-		u, udpErr := net.ListenPacket("udp", address)
 		_ = l.Close()
-		if udpErr != nil {
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
 			continue
 		}
 		_ = u.Close()
@@ -305,17 +314,17 @@
 // AwaitReady waits until all hosts are ready.
 func AwaitReady(hosts []*Host, timeout time.Duration) error {
 	for end := time.Now().Add(timeout); ; time.Sleep(50 * time.Millisecond) {
-		ready := 0
+		var unready *Host
 		for _, h := range hosts {
-			if h.Ready() {
-				ready++
+			if !h.Ready() {
+				unready = h
 			}
 		}
-		if ready == len(hosts) {
+		if unready == nil {
 			return nil
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("%d of %d hosts are ready", ready, len(hosts))
+			return fmt.Errorf("%s is not ready; its log: %s", unready.Name, unready.Log())
 		}
 	}
 }
