Count a mass removal as a change of the replicas that hosts compare

Cause: the digest in heartbeats was computed only when the replicas in use changed. A mass removal keeps them in use for two seconds, so the reader announced the new revision with the old digest, and the other hosts confirmed it without the removal.

Change: the catalog keeps the digest and drops it with each entry that is lost, found or removed. The grace period begins when the store last held the entries, so that it does not begin anew at the next reader, or at a host that hears of the loss late. After an outage of the store it begins when the loss is found. An entry that a peer keeps for the grace period is kept no longer than by the host's own rule, and not used again once it was removed. State from a peer counts as confirmed when the store confirmed it.

TestMassRemovalIsKeptForGracePeriod said nothing of when the store last held the entries; it now says so, and checks the same times.

The log line of changed replicas tells their digest.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,26 +12,12 @@
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/routing"
 )
 
-// ReregistrationGrace is how long an entry that disappeared together with many
-// others is kept.
-const ReregistrationGrace = 2 * time.Second
-
-// A mass loss is the simultaneous removal of at least massLossMin entries that
-// make up at least one massLossDivisor-th of all. It is attributed to the store,
-// not to the replicas.
-const (
-	massLossDivisor = 4
-	massLossMin     = 3
-)
-
 // Entry is the state of one replica's key in the store.
 type Entry struct {
 	ID       string `msgpack:"i"`
@@ -56,16 +42,23 @@
 	lostUntil time.Duration
 }
 
+// remove turns the record into that of a removed replica.
+func (r *record) remove() { r.replica, r.lostUntil = nil, 0 }
+
 // Catalog holds the replicas by ID. It is not safe for concurrent use.
 type Catalog struct {
 	records  map[string]*record
 	revision uint64
-	// confirmedAt is when the store last confirmed the content, or when a listing or
-	// changes were last applied, if that is later.
+	// confirmedAt is when the store last confirmed the content.
 	confirmedAt time.Duration
-	loaded      bool
+	// storeFailedAt is when a read of the store last failed; zero if none has.
+	storeFailedAt time.Duration
+	loaded        bool
 	// needsListing is set if the changes after revision can't be read.
 	needsListing bool
+	// digest is the result of Digest while digestValid is set.
+	digest      uint64
+	digestValid bool
 }
 
 // New returns an empty catalog.
@@ -90,82 +83,132 @@
 // Revision returns the store revision that the catalog reflects.
 func (c *Catalog) Revision() uint64 { return c.revision }
 
-// ConfirmedAt returns the time at which the store last confirmed the content, or at
-// which a listing or changes were last applied, if that is later. It is by the clock
-// of the times that are passed to the other methods.
+// ConfirmedAt returns the time at which the store last confirmed the content, by the
+// clock of the times that are passed to the other methods.
 func (c *Catalog) ConfirmedAt() time.Duration { return c.confirmedAt }
 
-// ApplyListing replaces the content by a full listing of the store at a revision.
-// Entries that are not listed are removed. A listing that is older than the content
-// is ignored. It reports whether the replicas changed.
+// ApplyListing replaces the content by a full listing that the store returned at the
+// time now. It is described at ApplyPeerListing.
 func (c *Catalog) ApplyListing(now time.Duration, revision uint64, entries []Entry) bool {
+	return c.ApplyPeerListing(now, now, revision, entries)
+}
+
+// ApplyPeerListing replaces the content by a full listing at a revision, which the store
+// confirmed at the time confirmedAt. Entries that are not listed are removed, and what is
+// known of later revisions is kept. A listing that is older than the content is ignored.
+// It reports whether the replicas changed.
+func (c *Catalog) ApplyPeerListing(now, confirmedAt time.Duration, revision uint64, entries []Entry) bool {
 	if c.loaded && revision < c.revision {
 		return false
 	}
-	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-	}
+	first := !c.loaded
+	listed := latestByID(entries)
 	for id, r := range c.records {
-		if !listed[id] && r.revision <= revision && r.replica != nil {
-			entries = append(entries, Entry{ID: id, Revision: revision})
+		if _, ok := listed[id]; !ok && r.revision <= revision && r.replica != nil {
+			listed[id] = Entry{ID: id, Revision: revision}
+		}
+	}
+	// A record that is not later than the listing yields to it, whatever its revision.
+	for id, e := range listed {
+		if r := c.records[id]; r != nil && r.revision > e.Revision && r.revision <= revision {
+			r.revision = e.Revision
 		}
 	}
 	c.loaded = true
 	c.needsListing = false
-	return c.ApplyChanges(now, revision, entries)
+	return c.apply(update{now: now, confirmedAt: confirmedAt, revision: revision, first: first, latest: listed})
 }
 
-// ApplyChanges applies the changes up to a revision. It reports whether the
-// replicas changed.
+// ApplyChanges applies the changes up to a revision, which the store returned at the time
+// now. Changes up to a revision that the content already reflects are ignored. It reports
+// whether the replicas changed.
 func (c *Catalog) ApplyChanges(now time.Duration, revision uint64, entries []Entry) bool {
-	c.revision = max(c.revision, revision)
-	c.confirmedAt = now
+	return c.ApplyPeerChanges(now, now, revision, entries)
+}
+
+// ApplyPeerChanges is ApplyChanges for changes that the store confirmed at the time
+// confirmedAt.
+func (c *Catalog) ApplyPeerChanges(now, confirmedAt time.Duration, revision uint64, entries []Entry) bool {
+	if revision < c.revision {
+		return false
+	}
+	if revision == c.revision {
+		c.confirmedAt = max(c.confirmedAt, confirmedAt)
+		return false
+	}
+	return c.apply(update{now: now, confirmedAt: confirmedAt, revision: revision, latest: latestByID(entries)})
+}
+
+// latestByID returns the latest entry of each ID.
+func latestByID(entries []Entry) map[string]Entry {
+	out := make(map[string]Entry, len(entries))
+	for _, e := range entries {
+		if known, ok := out[e.ID]; !ok || e.Revision >= known.Revision {
+			out[e.ID] = e
+		}
+	}
+	return out
+}
+
+// update is a set of changes that a catalog applies.
+type update struct {
+	now time.Duration
+	// confirmedAt is when the store confirmed the state at revision.
+	confirmedAt time.Duration
+	revision    uint64
+	// first is set for the first listing.
+	first bool
+	// latest holds the latest change of each ID.
+	latest map[string]Entry
+}
+
+// apply applies an update. It reports whether the replicas changed.
+func (c *Catalog) apply(u update) bool {
 	countBefore := c.registeredCount()
 	var lost []*record
 	changed := false
-	for _, e := range entries {
-		r := c.records[e.ID]
+	for id, e := range u.latest {
+		r := c.records[id]
 		if r == nil {
 			r = &record{}
-			c.records[e.ID] = r
+			c.records[id] = r
 		}
 		if e.Revision < r.revision {
 			continue
 		}
 		r.revision = e.Revision
-		if e.Replica == nil {
+		switch {
+		case e.Replica == nil:
 			if r.replica != nil && r.lostUntil == 0 {
 				lost = append(lost, r)
 			}
-			continue
-		}
-		r.lostUntil = 0
-		if e.LostRemaining > 0 {
-			r.lostUntil = now + e.LostRemaining
-		}
-		if r.replica == nil || !equivalent(r.replica, e.Replica) {
-			r.replica = e.Replica
-			changed = true
+		case e.LostRemaining > 0 && !u.first:
+			c.applyLost(u.now, r, e)
+		default:
+			changed = c.register(u.now, r, e) || changed
 		}
 	}
-	return c.removeLost(now, lost, countBefore) || changed
+	changed = c.removeLost(u.now, lost, countBefore) || changed
+	c.revision = max(c.revision, u.revision)
+	c.confirmedAt = max(c.confirmedAt, u.confirmedAt)
+	c.digestValid = c.digestValid && !changed
+	return changed
 }
 
-// removeLost removes entries that disappeared from the store. It keeps them for
-// ReregistrationGrace if they are a mass loss among the countBefore entries that the
-// store had before. It reports whether the replicas changed.
-func (c *Catalog) removeLost(now time.Duration, lost []*record, countBefore int) bool {
-	if len(lost) >= massLossMin && len(lost)*massLossDivisor >= countBefore {
-		for _, r := range lost {
-			r.lostUntil = now + ReregistrationGrace
-		}
-		return false
+// register applies an entry that has a replica. It reports whether the replica changed.
+func (c *Catalog) register(now time.Duration, r *record, e Entry) bool {
+	if r.lostUntil > 0 {
+		c.digestValid = false
 	}
-	for _, r := range lost {
-		r.replica = nil
+	r.lostUntil = 0
+	if e.LostRemaining > 0 {
+		r.lostUntil = now + min(e.LostRemaining, ReregistrationGrace)
 	}
-	return len(lost) > 0
+	if r.replica != nil && equivalent(r.replica, e.Replica) {
+		return false
+	}
+	r.replica = e.Replica
+	return true
 }
 
 // Tick removes the entries of a mass loss whose grace period is over. It reports
@@ -174,11 +217,13 @@
 	changed := false
 	for _, r := range c.records {
 		if r.lostUntil > 0 && now >= r.lostUntil {
-			r.lostUntil = 0
-			r.replica = nil
+			r.remove()
 			changed = true
 		}
 	}
+	if changed {
+		c.digestValid = false
+	}
 	return changed
 }
 
@@ -194,67 +239,6 @@
 	return out
 }
 
-// Entries returns the entries for another host, sorted by ID: all replicas if
-// since is zero, else all changes after that revision, including removals.
-func (c *Catalog) Entries(now time.Duration, since uint64) []Entry {
-	out := make([]Entry, 0, len(c.records))
-	for id, r := range c.records {
-		if r.revision <= since || since == 0 && r.replica == nil {
-			continue
-		}
-		out = append(out, r.toEntry(now, id))
-	}
-	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// toEntry returns the entry that is sent to another host.
-func (r *record) toEntry(now time.Duration, id string) Entry {
-	e := Entry{ID: id, Revision: r.revision, Replica: r.replica}
-	if r.replica != nil {
-		e.ColdRemaining = max(r.replica.ColdUntil-now, 0)
-	}
-	if r.lostUntil > 0 {
-		e.LostRemaining = max(r.lostUntil-now, 1)
-	}
-	return e
-}
-
-// Digest returns a hash of the replicas that are in the store, by which hosts
-// compare their state.
-func (c *Catalog) Digest() uint64 {
-	h := fnv.New64a()
-	for _, r := range c.Replicas() {
-		if c.records[r.ID].lostUntil > 0 {
-			continue
-		}
-		fmt.Fprintf(h, "%s|%d|%s|%s|%s|%d|%t\n", r.ID, r.Born, r.Service, r.Address, r.DataCentre, r.Slots, r.Leaving)
-	}
-	return h.Sum64()
-}
-
-// Confirm notes that the store held the same replicas at the given revision and
-// time. If the revision is later than the known one, changes can be read after it,
-// so that a listing is no longer needed.
-func (c *Catalog) Confirm(revision uint64, confirmedAt time.Duration) {
-	if revision > c.revision {
-		c.needsListing = false
-	}
-	c.revision = max(c.revision, revision)
-	c.confirmedAt = max(c.confirmedAt, confirmedAt)
-}
-
-// registeredCount returns the number of replicas, without those of a mass loss.
-func (c *Catalog) registeredCount() int {
-	n := 0
-	for _, r := range c.records {
-		if r.replica != nil && r.lostUntil == 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // equivalent reports whether two replicas agree in all fields but ColdUntil, so that
 // a change of any other field that requests depend on counts as a change.
 func equivalent(a, b *routing.Replica) bool {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumlug/gypsumlug/internal/catalog"
 	"github.com/gypsumlug/gypsumlug/internal/routing"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
 func entry(id string, revision uint64) catalog.Entry {
@@ -48,6 +49,7 @@
 	g := NewWithT(t)
 	c := newCatalog(10)
 	lost := []catalog.Entry{{ID: "r01", Revision: 11}, {ID: "r02", Revision: 12}, {ID: "r03", Revision: 13}}
+	c.Confirm(10, time.Second)
 	g.Expect(c.ApplyChanges(time.Second, 13, lost)).To(BeFalse())
 	g.Expect(replicaIDs(c)).To(HaveLen(10))
 	c.ApplyChanges(2*time.Second, 14, []catalog.Entry{entry("r02", 14)})
@@ -82,7 +84,7 @@
 // A catalog that is updated from another one's changes alone reaches the same
 // state.
 func TestChangesLeadToSameState(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	testsuite.Check(t, func(t *rapid.T) {
 		source, follower := catalog.New(), catalog.New()
 		source.ApplyListing(0, 1, nil)
 		follower.ApplyListing(0, 1, nil)
--- /dev/null
+++ b/internal/catalog/exchange.go
@@ -0,0 +1,63 @@
+package catalog
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+// Entries returns the entries for another host, sorted by ID: all replicas if
+// since is zero, else all changes after that revision, including removals.
+func (c *Catalog) Entries(now time.Duration, since uint64) []Entry {
+	out := make([]Entry, 0, len(c.records))
+	for id, r := range c.records {
+		if r.revision <= since || since == 0 && r.replica == nil {
+			continue
+		}
+		out = append(out, r.toEntry(now, id))
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// toEntry returns the entry that is sent to another host.
+func (r *record) toEntry(now time.Duration, id string) Entry {
+	e := Entry{ID: id, Revision: r.revision, Replica: r.replica}
+	if r.replica != nil {
+		e.ColdRemaining = max(r.replica.ColdUntil-now, 0)
+	}
+	if r.lostUntil > 0 {
+		e.LostRemaining = max(r.lostUntil-now, 1)
+	}
+	return e
+}
+
+// Digest returns a hash of the replicas that are in the store, by which hosts
+// compare their state.
+func (c *Catalog) Digest() uint64 {
+	if c.digestValid {
+		return c.digest
+	}
+	h := fnv.New64a()
+	for _, r := range c.Replicas() {
+		if c.records[r.ID].lostUntil > 0 {
+			continue
+		}
+		fmt.Fprintf(h, "%s|%d|%s|%s|%s|%d|%t\n", r.ID, r.Born, r.Service, r.Address, r.DataCentre, r.Slots, r.Leaving)
+	}
+	c.digest, c.digestValid = h.Sum64(), true
+	return c.digest
+}
+
+// Confirm notes that the store held the same replicas at the given revision and
+// time. If the revision is later than the known one, changes can be read after it,
+// so that a listing is no longer needed.
+func (c *Catalog) Confirm(revision uint64, confirmedAt time.Duration) {
+	if revision > c.revision {
+		c.needsListing = false
+	}
+	c.revision = max(c.revision, revision)
+	c.confirmedAt = max(c.confirmedAt, confirmedAt)
+}
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -123,8 +123,10 @@
 	Version      uint64
 	Revision     uint64
 	ReplicaCount int
-	HostCount    int
-	Err          error
+	// Digest is that of the replicas, for changes of the replicas.
+	Digest    uint64
+	HostCount int
+	Err       error
 }
 
 // Machine decides when a host reads the store or fetches from a peer, and which
@@ -134,14 +136,12 @@
 // Invariants: the version of the configuration in force and the revision of the
 // replicas never decrease; at most one read and one fetch are in flight.
 type Machine struct {
-	self    Member
-	seeds   []string
-	rng     *rand.Rand
-	members *members
-	catalog *catalog.Catalog
-	config  *routing.Config
-	// digest is the catalog's digest as of the last change of the replicas.
-	digest       uint64
+	self         Member
+	seeds        []string
+	rng          *rand.Rand
+	members      *members
+	catalog      *catalog.Catalog
+	config       *routing.Config
 	readInFlight bool
 	readFailures int
 	// isReader is set while this host reads the store for the others: its last read
@@ -315,16 +315,15 @@
 	m.recordChange(Change{Kind: kind, HostCount: m.hostCount})
 }
 
-// publishView updates the digest and, once both the configuration and the replicas
-// are known, adds a new view to the pending actions.
+// publishView adds a new view to the pending actions, once both the configuration and the
+// replicas are known.
 func (m *Machine) publishView(now time.Duration, source string) {
-	m.digest = m.catalog.Digest()
 	if m.config == nil || !m.catalog.Loaded() {
 		return
 	}
 	replicas := m.catalog.Replicas()
 	m.pendingActions.View = routing.NewView(m.config, replicas, m.catalog.ConfirmedAt())
-	m.recordChange(Change{Kind: ChangeReplicas, Source: source, Revision: m.catalog.Revision(), ReplicaCount: len(replicas)})
+	m.recordChange(Change{Kind: ChangeReplicas, Source: source, Revision: m.catalog.Revision(), ReplicaCount: len(replicas), Digest: m.catalog.Digest()})
 }
 
 func (m *Machine) recordChange(c Change) {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -10,7 +10,7 @@
 // and replicas, the store's confirmation to the sender holds for this host, too.
 func (m *Machine) compareState(now time.Duration, h *Heartbeat) {
 	newer := h.Revision > m.catalog.Revision() || !m.catalog.Loaded() && h.Revision > 0
-	sameReplicas := h.Digest == m.digest && m.catalog.Loaded()
+	sameReplicas := m.catalog.Loaded() && h.Digest == m.catalog.Digest()
 	switch {
 	case h.Version > m.configVersion(), newer && !sameReplicas:
 		m.requestState(now, h.From)
@@ -62,12 +62,12 @@
 // whether the replicas changed.
 func (m *Machine) adoptEntries(now time.Duration, s *State) bool {
 	if s.Since == 0 {
-		return m.catalog.ApplyListing(now, s.Revision, s.Entries)
+		return m.catalog.ApplyPeerListing(now, now-s.Age, s.Revision, s.Entries)
 	}
 	if s.Since > m.catalog.Revision() {
 		return false
 	}
-	return m.catalog.ApplyChanges(now, s.Revision, s.Entries)
+	return m.catalog.ApplyPeerChanges(now, now-s.Age, s.Revision, s.Entries)
 }
 
 // StateFor returns the answer to a peer's request for this host's state.
@@ -147,7 +147,7 @@
 		ReadsStore: m.isReader,
 		Version:    m.configVersion(),
 		Revision:   m.catalog.Revision(),
-		Digest:     m.digest,
+		Digest:     m.catalog.Digest(),
 		Age:        m.stateAge(now),
 	}
 }
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -51,6 +51,7 @@
 		m.readStoreIfDue(now)
 		return
 	}
+	m.catalog.NoteStoreFailure(now)
 	maxBackoff := maxReadRetry
 	if m.members.readRank() < fastRetryHosts && !tookOver {
 		maxBackoff = 2 * minReadRetry
--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -238,6 +238,14 @@
 	s.replicaChanges = append(s.replicaChanges, catalog.Entry{ID: id, Revision: s.revision, Replica: &routing.Replica{ID: id, Address: id, Service: "s", Slots: 1, Leaving: leaving}})
 }
 
+// removeReplica removes replicas from the store.
+func (s *simulation) removeReplica(ids ...string) {
+	for _, id := range ids {
+		s.revision++
+		s.replicaChanges = append(s.replicaChanges, catalog.Entry{ID: id, Revision: s.revision})
+	}
+}
+
 // isCurrent reports whether a host's view has the store's configuration version and
 // replicas.
 func (s *simulation) isCurrent(h *host) bool {
@@ -246,7 +254,7 @@
 	}
 	want := map[string]bool{}
 	for _, e := range s.replicaChanges {
-		want[e.ID] = !e.Replica.Leaving
+		want[e.ID] = e.Replica != nil && !e.Replica.Leaving
 	}
 	n := 0
 	for id, live := range want {
--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"time"
 
@@ -183,6 +184,9 @@
 		if c.ReplicaCount > 0 {
 			line.Int("replicas", c.ReplicaCount)
 		}
+		if c.Digest > 0 {
+			line.Hex("digest", binary.BigEndian.AppendUint64(nil, c.Digest))
+		}
 		if c.HostCount > 0 {
 			line.Int("hosts", c.HostCount)
 		}
