Let hosts verify that they hold the replicas of their revision

Cause: hosts fetch by revision alone, and a host answered 'changes since' for any revision, although it knows removals only since its own first listing. A host that had started after the removal passed on its revision without it, for good.

Ruled out: a stale listing of the store (the new host's is right), and the removal's grace period (one replica of twelve).

Change: changes are told only as far back as all removals are known, else a listing. States carry a digest; a host that differs from the peer after adopting its state, or from the reader at the same revision for half a second, fetches the listing, and counts it. The reader lists the store when it takes over and each 30 s. Records of removed replicas are bounded, by age and number; late answers of the store bring none back.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,9 @@
 // its revision in the store. A change that is older than the known state of its key
 // is ignored, so that no key returns to an older state.
 //
+// Invariant: the content reflects every change up to the catalog's revision. Hosts
+// verify it by the [Catalog.Digest] of a peer at the same revision.
+//
 // The removal of an entry normally means that the replica left. If the entries of
 // many replicas disappear at once, the store may have lost them in an outage of
 // its own. Such entries are kept for [ReregistrationGrace], within which a live
@@ -40,15 +43,22 @@
 	// lostUntil is when an entry that disappeared in a mass loss is removed; zero
 	// for other entries.
 	lostUntil time.Duration
+	// removedAt is when the replica was removed, if replica is nil.
+	removedAt time.Duration
 }
 
 // remove turns the record into that of a removed replica.
-func (r *record) remove() { r.replica, r.lostUntil = nil, 0 }
+func (r *record) remove(now time.Duration) {
+	r.replica, r.lostUntil, r.removedAt = nil, 0, now
+}
 
 // Catalog holds the replicas by ID. It is not safe for concurrent use.
 type Catalog struct {
 	records  map[string]*record
 	revision uint64
+	// historyStart is the revision after which every removal of a known replica has a
+	// record.
+	historyStart uint64
 	// confirmedAt is when the store last confirmed the content.
 	confirmedAt time.Duration
 	// storeFailedAt is when a read of the store last failed; zero if none has.
@@ -102,6 +112,9 @@
 		return false
 	}
 	first := !c.loaded
+	if first {
+		c.historyStart = revision
+	}
 	listed := latestByID(entries)
 	for id, r := range c.records {
 		if _, ok := listed[id]; !ok && r.revision <= revision && r.replica != nil {
@@ -170,7 +183,7 @@
 	for id, e := range u.latest {
 		r := c.records[id]
 		if r == nil {
-			r = &record{}
+			r = &record{removedAt: u.now}
 			c.records[id] = r
 		}
 		if e.Revision < r.revision {
@@ -211,16 +224,17 @@
 	return true
 }
 
-// Tick removes the entries of a mass loss whose grace period is over. It reports
-// whether the replicas changed.
+// Tick removes the entries of a mass loss whose grace period is over, and the records of
+// replicas that were removed long ago. It reports whether the replicas changed.
 func (c *Catalog) Tick(now time.Duration) bool {
 	changed := false
 	for _, r := range c.records {
 		if r.lostUntil > 0 && now >= r.lostUntil {
-			r.remove()
+			r.remove(now)
 			changed = true
 		}
 	}
+	c.pruneRemoved(now)
 	if changed {
 		c.digestValid = false
 	}
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -8,6 +8,15 @@
 	"time"
 )
 
+// Bounds of the records of removed replicas. A host that lags behind them is sent a
+// listing.
+const (
+	// removedRetention is how long the record of a removed replica is kept.
+	removedRetention = 10 * time.Minute
+	// maxRemoved is the largest number of such records.
+	maxRemoved = 4096
+)
+
 // Entries returns the entries for another host, sorted by ID: all replicas if
 // since is zero, else all changes after that revision, including removals.
 func (c *Catalog) Entries(now time.Duration, since uint64) []Entry {
@@ -22,6 +31,12 @@
 	return out
 }
 
+// KnowsChangesSince reports whether the catalog has every removal after a revision, so
+// that a host at that revision can be sent changes.
+func (c *Catalog) KnowsChangesSince(revision uint64) bool {
+	return c.ResumeRevision() > 0 && revision >= c.historyStart
+}
+
 // toEntry returns the entry that is sent to another host.
 func (r *record) toEntry(now time.Duration, id string) Entry {
 	e := Entry{ID: id, Revision: r.revision, Replica: r.replica}
@@ -61,3 +76,33 @@
 	c.revision = max(c.revision, revision)
 	c.confirmedAt = max(c.confirmedAt, confirmedAt)
 }
+
+// pruneRemoved drops the records of replicas that were removed before removedRetention,
+// and the oldest ones over maxRemoved.
+func (c *Catalog) pruneRemoved(now time.Duration) {
+	var removed []string
+	for id, r := range c.records {
+		switch {
+		case r.replica != nil:
+		case now-r.removedAt > removedRetention:
+			c.dropRecord(id)
+		default:
+			removed = append(removed, id)
+		}
+	}
+	if len(removed) <= maxRemoved {
+		return
+	}
+	slices.SortFunc(removed, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.records[a].revision, c.records[b].revision), cmp.Compare(a, b))
+	})
+	for _, id := range removed[:len(removed)-maxRemoved] {
+		c.dropRecord(id)
+	}
+}
+
+// dropRecord forgets a removed replica.
+func (c *Catalog) dropRecord(id string) {
+	c.historyStart = max(c.historyStart, c.records[id].revision)
+	delete(c.records, id)
+}
--- a/internal/catalog/loss.go
+++ b/internal/catalog/loss.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	for _, r := range lost {
-		r.remove()
+		r.remove(now)
 	}
 	return len(lost) > 0
 }
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -51,6 +51,14 @@
 	// fetchRetryDelay is the least time between a failed fetch from a peer and the
 	// next fetch.
 	fetchRetryDelay = 200 * time.Millisecond
+	// maxDifference is how long this host may have other replicas than the reader at the
+	// same revision. listingPause is the least time between two fetches of all replicas
+	// for such a difference.
+	maxDifference = 500 * time.Millisecond
+	listingPause  = time.Second
+	// auditInterval is the time between two full listings that the reader reads while it
+	// follows the changes, so that no difference to the store lasts longer.
+	auditInterval = 30 * time.Second
 )
 
 // ReadRequest is a request to read the store.
@@ -59,6 +67,9 @@
 	After uint64
 	// Wait is how long the store may wait for a change.
 	Wait time.Duration
+	// Audit is set for a full listing while the changes could be read. Its failure does
+	// not count as one of the store.
+	Audit bool
 }
 
 // ReadResult is the result of a ReadRequest.
@@ -111,6 +122,7 @@
 	ChangeStoreRecovered ChangeKind = "store regained"
 	ChangeFleetSize      ChangeKind = "fleet size changed"
 	ChangeFetchError     ChangeKind = "fetch from peer failed"
+	ChangeDiverged       ChangeKind = "replicas differ from peer's"
 	ChangeIsolated       ChangeKind = "data centre cut off"
 	ChangeRejoined       ChangeKind = "data centre no longer cut off"
 )
@@ -134,14 +146,24 @@
 // actions come out.
 //
 // Invariants: the version of the configuration in force and the revision of the
-// replicas never decrease; at most one read and one fetch are in flight.
+// replicas never decrease; at most one read and one fetch are in flight; two hosts with
+// the same revision have the same replicas, and a difference is ended by a listing.
 type Machine struct {
-	self         Member
-	seeds        []string
-	rng          *rand.Rand
-	members      *members
-	catalog      *catalog.Catalog
-	config       *routing.Config
+	self    Member
+	seeds   []string
+	rng     *rand.Rand
+	members *members
+	catalog *catalog.Catalog
+	config  *routing.Config
+	// differsSince is when the reader was first seen to have other replicas at the same
+	// revision; zero if it has none.
+	differsSince time.Duration
+	// wantsListing is set if the next fetch is to return all replicas. nextListing is the
+	// earliest time of the next such fetch.
+	wantsListing bool
+	nextListing  time.Duration
+	// nextAudit is when this host, if it is the reader, next reads a full listing.
+	nextAudit    time.Duration
 	readInFlight bool
 	readFailures int
 	// isReader is set while this host reads the store for the others: its last read
--- a/internal/discovery/machine_test.go
+++ b/internal/discovery/machine_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
 // A change in the store is in force on all hosts within bound, under each kind of
@@ -149,7 +150,7 @@
 // frozen, restarted, partitioned or refused by the store, and even if the store
 // compacts its history. Once the faults end, all hosts reach the state of the store.
 func TestVersionNeverDecreasesAndHostsConverge(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	testsuite.Check(t, func(t *rapid.T) {
 		s := newSimulation(6, rapid.Uint64().Draw(t, "seed"))
 		lastVersions := map[*host]uint64{}
 		for range rapid.IntRange(5, 25).Draw(t, "steps") {
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -71,9 +71,11 @@
 
 // State is a host's state of the store.
 type State struct {
-	Format   int           `msgpack:"f"`
-	Revision uint64        `msgpack:"r"`
-	Age      time.Duration `msgpack:"g"`
+	Format   int    `msgpack:"f"`
+	Revision uint64 `msgpack:"r"`
+	// Digest is that of the replicas at Revision; zero from a host of an earlier version.
+	Digest uint64        `msgpack:"d,omitempty"`
+	Age    time.Duration `msgpack:"g"`
 	// Config is nil if the requesting host has this version or a later one.
 	Config *routing.Config `msgpack:"c"`
 	// Since is the revision after which Entries are the changes; zero if Entries are
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -16,9 +16,38 @@
 		m.requestState(now, h.From)
 	case sameReplicas && h.Revision >= m.catalog.Revision() && h.Version == m.configVersion():
 		m.catalog.Confirm(h.Revision, now-h.Age)
+		if h.ReadsStore {
+			m.differsSince = 0
+		}
+	case !sameReplicas && h.Revision == m.catalog.Revision() && h.ReadsStore && !m.isReader:
+		m.handleDifference(now, h.From)
+	}
+}
+
+// handleDifference handles a heartbeat of the reader that has other replicas at the same
+// revision. While a listing is spread, hosts may briefly differ so, since its pages are
+// not a snapshot.
+func (m *Machine) handleDifference(now time.Duration, reader string) {
+	if m.differsSince == 0 {
+		m.differsSince = now
+	}
+	if now-m.differsSince >= maxDifference {
+		m.requestListing(now, reader)
 	}
 }
 
+// requestListing requests all replicas of a peer whose replicas differ from this host's at
+// the same revision.
+func (m *Machine) requestListing(now time.Duration, from string) {
+	if now < m.nextListing {
+		return
+	}
+	m.nextListing = now + listingPause
+	m.wantsListing = true
+	m.recordChange(Change{Kind: ChangeDiverged, Source: from, Revision: m.catalog.Revision(), Digest: m.catalog.Digest()})
+	m.requestState(now, from)
+}
+
 // requestState requests a peer's state, unless a fetch is in flight or failed less
 // than fetchRetryDelay ago.
 func (m *Machine) requestState(now time.Duration, from string) {
@@ -27,7 +56,11 @@
 	}
 	m.fetchInFlight = true
 	m.pendingActions.FetchFrom = from
-	m.pendingActions.FetchRequest = StateRequest{Format: FormatVersion, Version: m.configVersion(), Revision: m.catalog.ResumeRevision()}
+	request := StateRequest{Format: FormatVersion, Version: m.configVersion()}
+	if !m.wantsListing {
+		request.Revision = m.catalog.ResumeRevision()
+	}
+	m.pendingActions.FetchRequest = request
 }
 
 // HandleState handles a peer's state, or the failure to fetch it.
@@ -42,26 +75,28 @@
 		m.members.recordHeartbeat(member, now-member.Age)
 	}
 	changed := m.adoptConfig(s.Config, from)
-	if s.Revision > m.catalog.Revision() || !m.catalog.Loaded() && s.Revision > 0 {
-		for _, e := range s.Entries {
-			if e.Replica != nil {
-				e.Replica.ColdUntil = now + e.ColdRemaining
-			}
-		}
-		changed = m.adoptEntries(now, s) || changed
-		m.catalog.Confirm(s.Revision, now-s.Age)
-	}
+	changed = m.adoptReplicas(now, s) || changed
 	if changed {
 		m.publishView(now, from)
 	}
+	m.verifyReplicas(now, from, s)
 	return m.takeActions()
 }
 
-// adoptEntries applies a peer's replicas, which are a full listing or changes. It
-// ignores changes that start after the revision of the known replicas. It reports
-// whether the replicas changed.
-func (m *Machine) adoptEntries(now time.Duration, s *State) bool {
+// adoptReplicas applies a peer's replicas, which are a full listing or changes after a
+// revision of this host. A listing is also applied at an equal revision, to end a
+// difference. It reports whether the replicas changed.
+func (m *Machine) adoptReplicas(now time.Duration, s *State) bool {
+	if s.Revision == 0 || m.catalog.Loaded() && s.Revision < m.catalog.Revision() {
+		return false
+	}
+	for _, e := range s.Entries {
+		if e.Replica != nil {
+			e.Replica.ColdUntil = now + e.ColdRemaining
+		}
+	}
 	if s.Since == 0 {
+		m.wantsListing = false
 		return m.catalog.ApplyPeerListing(now, now-s.Age, s.Revision, s.Entries)
 	}
 	if s.Since > m.catalog.Revision() {
@@ -70,10 +105,22 @@
 	return m.catalog.ApplyPeerChanges(now, now-s.Age, s.Revision, s.Entries)
 }
 
+// verifyReplicas compares the replicas with those of the peer whose state was just
+// adopted. If they differ at the same revision, the peer's listing is requested.
+func (m *Machine) verifyReplicas(now time.Duration, from string, s *State) {
+	switch {
+	case s.Digest == 0 || s.Revision != m.catalog.Revision():
+	case s.Digest == m.catalog.Digest():
+		m.differsSince = 0
+	default:
+		m.requestListing(now, from)
+	}
+}
+
 // StateFor returns the answer to a peer's request for this host's state.
 func (m *Machine) StateFor(now time.Duration, r StateRequest) *State {
-	s := &State{Format: FormatVersion, Revision: m.catalog.Revision(), Age: m.stateAge(now)}
-	if m.catalog.ResumeRevision() > 0 && r.Revision > 0 {
+	s := &State{Format: FormatVersion, Revision: m.catalog.Revision(), Digest: m.catalog.Digest(), Age: m.stateAge(now)}
+	if r.Revision > 0 && m.catalog.KnowsChangesSince(r.Revision) {
 		s.Since = r.Revision
 	}
 	s.Entries = m.catalog.Entries(now, s.Since)
--- a/internal/discovery/reading.go
+++ b/internal/discovery/reading.go
@@ -9,6 +9,11 @@
 func (m *Machine) HandleReadResult(now time.Duration, r ReadResult) Actions {
 	tookOver := m.takesOver
 	m.readInFlight, m.takesOver = false, false
+	if r.Err != nil && r.Request.Audit {
+		m.nextAudit, m.nextRead = now+auditInterval, now
+		m.readStoreIfDue(now)
+		return m.takeActions()
+	}
 	if r.Err != nil {
 		m.handleReadFailure(now, r.Err, tookOver)
 		return m.takeActions()
@@ -21,6 +26,8 @@
 	m.nextRead = now + readPause
 	changed := m.adoptConfig(r.Config, sourceStore)
 	if r.Request.After == 0 {
+		m.nextAudit = now + auditInterval
+		m.wantsListing = false
 		changed = m.catalog.ApplyListing(now, r.Revision, r.Entries) || changed
 	} else {
 		changed = m.catalog.ApplyChanges(now, r.Revision, r.Entries) || changed
@@ -66,11 +73,21 @@
 		return
 	}
 	m.readInFlight, m.yielded = true, false
-	read := &ReadRequest{After: m.catalog.ResumeRevision()}
-	if read.After > 0 {
-		read.Wait = changeWait
+	m.pendingActions.Read = m.nextReadRequest(now)
+}
+
+// nextReadRequest returns the request for the changes, or for a full listing if changes
+// can't be read or an audit is due.
+func (m *Machine) nextReadRequest(now time.Duration) *ReadRequest {
+	after := m.catalog.ResumeRevision()
+	switch {
+	case after == 0:
+		return &ReadRequest{}
+	case m.isReader && now >= m.nextAudit:
+		return &ReadRequest{Audit: true}
+	default:
+		return &ReadRequest{After: after, Wait: changeWait}
 	}
-	m.pendingActions.Read = read
 }
 
 // nextTurn returns the time from which this host is to read the store. It is zero,
--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -40,6 +40,8 @@
 	storeDown func(h *host) bool
 	// partitioned reports whether two hosts can't reach each other.
 	partitioned func(a, b *host) bool
+	// heartbeatLoss is the share of heartbeats that are lost.
+	heartbeatLoss float64
 	// storeCalls counts the reads of the store.
 	storeCalls    int
 	pendingEvents []event
@@ -148,7 +150,7 @@
 // deliverHeartbeat passes a heartbeat to its receiver, if it arrives.
 func (s *simulation) deliverHeartbeat(from *host, outgoing discovery.OutgoingHeartbeat) {
 	to := s.runningHost(outgoing.To)
-	if to == nil || from.dead || s.partitioned(from, to) {
+	if to == nil || from.dead || s.partitioned(from, to) || s.rng.Float64() < s.heartbeatLoss {
 		return
 	}
 	s.execute(to, to.machine.HandleHeartbeat(s.now, outgoing.Heartbeat))
--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -75,7 +75,10 @@
 	// heartbeats. RecordLeaving is called with those in other hosts' heartbeats.
 	Leaving       func() []string
 	RecordLeaving func([]string)
-	Log           zerolog.Logger
+	// CountDifference is called when this host has other replicas than a peer at the same
+	// revision, and fetches the peer's listing.
+	CountDifference func()
+	Log             zerolog.Logger
 }
 
 // Agent drives the discovery machine of one host. Its machine, view, host count and
@@ -171,6 +174,9 @@
 
 func (a *Agent) logChanges(changes []discovery.Change) {
 	for _, c := range changes {
+		if c.Kind == discovery.ChangeDiverged {
+			a.opts.CountDifference()
+		}
 		line := a.opts.Log.Info().Str("event", eventStateChange)
 		if c.Source != "" {
 			line.Str("source", c.Source)
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -216,6 +216,7 @@
 		RecordRateLimits: h.gateway.MergeRateLimitHints,
 		Leaving:          h.gateway.LeavingHints,
 		RecordLeaving:    h.gateway.MergeLeavingHints,
+		CountDifference:  func() { h.counters.Inc(telemetry.ReplicaDifferences) },
 		Log:              h.log,
 	}, machine)
 }
--- a/internal/peerlink/state.go
+++ b/internal/peerlink/state.go
@@ -16,6 +16,7 @@
 type State struct {
 	Format   int                `msgpack:"f"`
 	Revision uint64             `msgpack:"r"`
+	Digest   uint64             `msgpack:"d,omitempty"`
 	Age      time.Duration      `msgpack:"g"`
 	Config   *SharedConfig      `msgpack:"c"`
 	Since    uint64             `msgpack:"n"`
@@ -25,12 +26,12 @@
 
 // NewState returns a state for sending. config is nil, or shares the configuration of s.
 func NewState(s *discovery.State, config *SharedConfig) *State {
-	return &State{Format: s.Format, Revision: s.Revision, Age: s.Age, Config: config, Since: s.Since, Entries: s.Entries, Members: s.Members}
+	return &State{Format: s.Format, Revision: s.Revision, Digest: s.Digest, Age: s.Age, Config: config, Since: s.Since, Entries: s.Entries, Members: s.Members}
 }
 
 // Received returns a state that was received.
 func (s *State) Received() *discovery.State {
-	return &discovery.State{Format: s.Format, Revision: s.Revision, Age: s.Age, Config: s.Config.Value(), Since: s.Since, Entries: s.Entries, Members: s.Members}
+	return &discovery.State{Format: s.Format, Revision: s.Revision, Digest: s.Digest, Age: s.Age, Config: s.Config.Value(), Since: s.Since, Entries: s.Entries, Members: s.Members}
 }
 
 // SharedConfig is the configuration in a [State]. It is encoded once for all hosts that
--- a/internal/peerlink/state_test.go
+++ b/internal/peerlink/state_test.go
@@ -35,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			state := &discovery.State{
-				Format: discovery.FormatVersion, Revision: 7, Age: time.Second, Config: config, Since: 3,
+				Format: discovery.FormatVersion, Revision: 7, Digest: 11, Age: time.Second, Config: config, Since: 3,
 				Entries: []catalog.Entry{{ID: "r", Revision: 5, ColdRemaining: time.Second}}, Members: []discovery.Member{{Address: "a", Start: 1, Age: time.Minute}},
 			}
 			var shared *peerlink.SharedConfig
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -130,8 +130,11 @@
 	HedgesDenied  = "gypsumlug_hedges_denied_total"
 	RetriesDenied = "gypsumlug_retries_denied_total"
 	StrayReplies  = "gypsumlug_stray_replies_total"
-	Dials         = "gypsumlug_dials_total"
-	DialsFailed   = "gypsumlug_dials_failed_total"
+	// ReplicaDifferences counts the times that this host had other replicas than a peer
+	// at the same revision of the store, and fetched the peer's listing.
+	ReplicaDifferences = "gypsumlug_replica_differences_total"
+	Dials              = "gypsumlug_dials_total"
+	DialsFailed        = "gypsumlug_dials_failed_total"
 	// ConnectionsAbandoned counts the connections to replicas that were closed while a
 	// request on them had no response, and ConnectionsUnacknowledged those of them on
 	// which the replica had not acknowledged the request.
