Let a connection to a replica carry the ID of a request only once

Cause: all attempts of a request have the caller's ID, and the retry took the connection of the attempt before. The replica's late copy of the rejection of the first attempt was taken for the rejection of the retry.

Ruled out: the host reports a rejection that it has not got (each 503 has one); a second attempt after the answer (none).

Idle connections that carried the ID are passed over, waiting attempts too, and one is closed if there is no room for another. Once a replica has repeated an ID on a connection, a response without an ID belongs to no request.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -87,6 +87,10 @@
 	// announced none.
 	idleTimeout time.Duration
 	idleChecker *dial.IdleChecker
+	// sent holds the IDs of the requests that were written lately.
+	sent sentIDs
+	// named is set once a response has repeated the ID of a request.
+	named bool
 	// unanswered is true from the first write of a request until its response is
 	// complete.
 	unanswered bool
@@ -144,6 +148,7 @@
 		}
 	}
 	c.unanswered = true
+	c.sent.add(time.Now(), a.req.Message.ID)
 	n, err := c.Write(c.request)
 	if err != nil {
 		if n == 0 && !errors.Is(err, syscall.EAGAIN) && time.Now().Before(a.deadline) && !a.wasCancelled() {
@@ -172,8 +177,8 @@
 		if resp.Close {
 			res = unusable
 		}
-		reply, matches := codec.Decode(&a.req, resp, body)
-		if matches {
+		reply, owner := codec.Decode(&a.req, resp, body)
+		if c.ownsResponse(owner) {
 			c.unanswered = false
 			if c.reader.Buffered() > 0 {
 				res = unusable
@@ -185,6 +190,15 @@
 	return c.noResponseReply(a), unusable
 }
 
+// ownsResponse reports whether a response with the given owner is that to the request
+// which was written last. A response without an ID belongs to no request if the replica
+// repeats IDs.
+func (c *conn) ownsResponse(owner Owner) bool {
+	unnamed := owner == OwnerUnnamed && !c.named
+	c.named = c.named || owner != OwnerUnnamed
+	return unnamed || owner == OwnerThis
+}
+
 // readErrorResult returns the state of a connection after a failed read.
 func readErrorResult(a *attempt, err error) connResult {
 	if errors.Is(err, errReplicaSilent) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,11 +24,24 @@
 	// Encode appends the encoded request to buf. remaining is the time that the replica
 	// has left to respond.
 	Encode(buf []byte, req *dispatch.Request, remaining time.Duration) []byte
-	// Decode converts a response into the reply to req. It reports false if the
-	// response belongs to another request.
-	Decode(req *dispatch.Request, resp *http.Response, body []byte) (dispatch.Reply, bool)
+	// Decode converts a response into the reply to req, unless its owner is another
+	// request.
+	Decode(req *dispatch.Request, resp *http.Response, body []byte) (dispatch.Reply, Owner)
 }
 
+// Owner is the request to which a response belongs, going by the ID that it repeats.
+type Owner uint8
+
+// The owners of a response.
+const (
+	// OwnerOther means that the response repeats the ID of another request.
+	OwnerOther Owner = iota
+	// OwnerUnnamed means that the response repeats no ID.
+	OwnerUnnamed
+	// OwnerThis means that the response repeats the ID of the request.
+	OwnerThis
+)
+
 // Limits of connections and of the goroutines that use them.
 const (
 	dialTimeout = 600 * time.Millisecond
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -28,14 +28,19 @@
 	return append(buf, "GET / HTTP/1.1\r\nHost: x\r\nId: "+req.Message.ID+"\r\n\r\n"...)
 }
 
-func (testCodec) Decode(req *dispatch.Request, resp *http.Response, body []byte) (dispatch.Reply, bool) {
-	if resp.Header.Get("Id") != req.Message.ID {
-		return dispatch.Reply{}, false
+func (testCodec) Decode(req *dispatch.Request, resp *http.Response, body []byte) (dispatch.Reply, forward.Owner) {
+	owner := forward.OwnerThis
+	switch resp.Header.Get("Id") {
+	case req.Message.ID:
+	case "":
+		owner = forward.OwnerUnnamed
+	default:
+		return dispatch.Reply{}, forward.OwnerOther
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		return req.RefusedReply(result.EndpointShed), true
+		return req.RefusedReply(result.EndpointShed), owner
 	}
-	return dispatch.Reply{Key: req.Key, Endpoint: req.Endpoint, Outcome: dispatch.OK, Response: &dispatch.Response{Status: resp.StatusCode, Body: body}}, true
+	return dispatch.Reply{Key: req.Key, Endpoint: req.Endpoint, Outcome: dispatch.OK, Response: &dispatch.Response{Status: resp.StatusCode, Body: body}}, owner
 }
 
 // connectionCounter counts the connections that were opened, and those that were
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,13 +28,20 @@
 	// openCount counts the connections from the start of the dial to the close.
 	openCount int
 	idle      []*conn
-	// waiters are the attempts that wait for a connection, the oldest first. Each
-	// receives a connection, or nil when there is room to open one.
-	waiters []chan *conn
+	// waiters are the attempts that wait for a connection, the oldest first.
+	waiters []waiter
 	// retired is set once the replica is no longer a target.
 	retired bool
 }
 
+// waiter is an attempt that waits for a connection.
+type waiter struct {
+	// id is the ID of its request, which the connection must not have carried.
+	id string
+	// ready receives a connection, or nil when there is room to open one.
+	ready chan *conn
+}
+
 func newPool(c *Client, t Target) *pool {
 	return &pool{client: c, key: t.Key, address: t.Address}
 }
@@ -112,12 +120,14 @@
 	}
 }
 
-// acquire returns an idle connection, opens one, or waits for one to be released.
+// acquire returns an idle connection, opens one, or waits for one to be released. The
+// connection has not carried the ID of the attempt.
 // A code other than 0 is the reason to refuse the attempt. dials counts the dials for
 // the attempt so far.
 func (p *pool) acquire(a *attempt, dials *int) (*conn, result.Code) {
+	id := a.req.Message.ID
 	p.mu.Lock()
-	if c := p.popIdleLocked(a.deadline); c != nil {
+	if c := p.popIdleLocked(id, a.deadline); c != nil {
 		p.mu.Unlock()
 		return c, 0
 	}
@@ -125,15 +135,18 @@
 		p.mu.Unlock()
 		return nil, result.UnknownEndpoint
 	}
+	if p.openCount >= p.max && len(p.idle) > 0 {
+		p.closeOldestIdleLocked()
+	}
 	if p.openCount < p.max {
 		p.openCount++
 		p.mu.Unlock()
 		return p.dialForAttempt(a, dials)
 	}
-	waiter := make(chan *conn, 1)
-	p.waiters = append(p.waiters, waiter)
+	w := waiter{id: id, ready: make(chan *conn, 1)}
+	p.waiters = append(p.waiters, w)
 	p.mu.Unlock()
-	return p.waitForConn(a, waiter, dials)
+	return p.waitForConn(a, w, dials)
 }
 
 func (p *pool) dialForAttempt(a *attempt, dials *int) (*conn, result.Code) {
@@ -148,52 +161,53 @@
 }
 
 // waitForConn waits until another attempt releases a connection or one is closed.
-func (p *pool) waitForConn(a *attempt, waiter chan *conn, dials *int) (*conn, result.Code) {
+func (p *pool) waitForConn(a *attempt, w waiter, dials *int) (*conn, result.Code) {
 	timer := time.NewTimer(time.Until(a.deadline))
 	defer timer.Stop()
 	select {
-	case c := <-waiter:
+	case c := <-w.ready:
 		if c == nil { // a connection was closed, so another one may be opened
 			return p.acquire(a, dials)
 		}
 		_ = c.SetDeadline(a.deadline)
 		return c, 0
 	case <-timer.C:
-		p.cancelWait(waiter)
+		p.cancelWait(w)
 		return nil, result.ExpiredBeforeSend
 	case <-a.cancelSignal:
-		p.cancelWait(waiter)
+		p.cancelWait(w)
 		return nil, result.CancelledBeforeSend
 	}
 }
 
 // cancelWait removes a waiter from the list. If the waiter was notified in the
 // meantime, its connection, or the room for one, goes to the next waiter.
-func (p *pool) cancelWait(waiter chan *conn) {
+func (p *pool) cancelWait(w waiter) {
 	p.mu.Lock()
-	for i, w := range p.waiters {
-		if w == waiter {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			p.mu.Unlock()
-			return
-		}
+	if i := slices.Index(p.waiters, w); i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		p.mu.Unlock()
+		return
 	}
 	p.mu.Unlock()
-	if c := <-waiter; c != nil {
+	if c := <-w.ready; c != nil {
 		p.release(c, true)
 	} else {
 		p.notifyWaiter(nil)
 	}
 }
 
-// popIdleLocked returns the most recently used idle connection that can be reused,
-// or nil. It closes those that can't.
-func (p *pool) popIdleLocked(deadline time.Time) *conn {
+// popIdleLocked returns the most recently used idle connection that can be reused for a
+// request with the given ID, or nil. It closes those that can't be reused, and leaves
+// those that have carried the ID.
+func (p *pool) popIdleLocked(id string, deadline time.Time) *conn {
 	now := time.Now()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle = p.idle[:last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if c.sent.contains(id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.prepareReuse(now, deadline) {
 			return c
 		}
@@ -203,6 +217,13 @@
 	return nil
 }
 
+// closeOldestIdleLocked closes the idle connection that was used longest ago.
+func (p *pool) closeOldestIdleLocked() {
+	p.idle[0].close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.openCount--
+}
+
 // dial opens a connection. The caller has counted it in openCount; if the dial
 // fails, dial takes the count back.
 func (p *pool) dial(deadline time.Time) (*conn, error) {
@@ -255,14 +276,15 @@
 	c.close()
 }
 
-// notifyWaiter passes a connection to the oldest waiter; a nil c tells the waiter
-// that it may open one. Without a waiter, c becomes idle or is closed.
+// notifyWaiter passes a connection to the oldest waiter whose ID it has not carried; a
+// nil c tells the oldest waiter that it may open one. If the connection suits no waiter,
+// it is closed to make room for one that does. Without a waiter, c becomes idle or is
+// closed.
 func (p *pool) notifyWaiter(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.waiters) > 0 {
-		p.waiters[0] <- c
-		p.waiters = p.waiters[1:]
+		p.notifyWaiterLocked(c)
 		return
 	}
 	if c == nil {
@@ -275,3 +297,17 @@
 	}
 	p.idle = append(p.idle, c)
 }
+
+func (p *pool) notifyWaiterLocked(c *conn) {
+	i := 0
+	if c != nil {
+		i = slices.IndexFunc(p.waiters, func(w waiter) bool { return !c.sent.contains(w.id) })
+	}
+	if i < 0 {
+		c.close()
+		p.openCount--
+		c, i = nil, 0
+	}
+	p.waiters[i].ready <- c
+	p.waiters = slices.Delete(p.waiters, i, i+1)
+}
