Bound the memory of all responses of replicas together

Operators reported: a replica sent bytes without end until the machine that had called it ran out of memory. Here each response was bounded, at 4 MB, and the sum of all connections was not; a length alone reserved the 4 MB, and the size in a peer's frame 8 MB.

Change: what responses hold beyond 16 KB each is charged to a budget of an eighth of the host's memory until the answer was written. A response over it is given up at once with code 410; small responses don't depend on it. Large parts of an index are cut to the records that can be in the answer. Bodies and frames take memory as they arrive.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,6 +148,9 @@
 	Load        *Load         `msgpack:"l"`
 	// Response is the response to a forwarded message.
 	Response *Response `msgpack:"-"`
+	// Charge is the memory that Response is charged, or nil. Whoever gets the reply
+	// releases it once the response was passed on or dropped.
+	Charge Charge `msgpack:"-"`
 	// RateLimit is set if the endpoint itself answered a forwarded message.
 	RateLimit *RateLimit `msgpack:"-"`
 	// Pause is how long the endpoint, which refused a forwarded message, wants no other
@@ -155,6 +158,20 @@
 	Pause time.Duration `msgpack:"-"`
 }
 
+// Charge is memory that a response is charged until it is released.
+type Charge interface {
+	// Release returns the memory. Further calls have no effect.
+	Release()
+}
+
+// ReleaseCharge releases the memory of the response.
+func (r *Reply) ReleaseCharge() {
+	if r.Charge != nil {
+		r.Charge.Release()
+		r.Charge = nil
+	}
+}
+
 // RateLimit is what an endpoint's answer says about the requests that it accepts.
 type RateLimit struct {
 	// PerSecond is the number of requests a second that the endpoint accepts from all
--- a/internal/entryhost/departed_waiting_test.go
+++ b/internal/entryhost/departed_waiting_test.go
@@ -83,7 +83,7 @@
 func startForwardingGateway(r *heldReplica, repeatable bool, dialFunc dial.Func) forwardingGateway {
 	started := time.Now()
 	recorder := attemptRecorder{codes: make(chan result.Code, 10)}
-	client := forward.New(platform.ReplicaCodec{}, dialFunc, recorder)
+	client := forward.New(platform.ReplicaCodec{}, dialFunc, recorder, nil)
 	replica := &routing.Replica{ID: "1", Service: "a", Address: r.address, Slots: 2}
 	client.SetTargets([]forward.Target{{Key: replica.Key(), Address: r.address, MaxConnections: 1}})
 	sender := sendReporter{Client: client, sent: make(chan struct{}, 10)}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/gypsumlug/gypsumlug/internal/bodymemory"
 	"github.com/gypsumlug/gypsumlug/internal/boottime"
 	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/discovery"
@@ -48,6 +49,11 @@
 	// answerReserve is the part of the grace period, before exitReserve, in which
 	// requests that are still running get their final answer.
 	answerReserve = 300 * time.Millisecond
+	// responseMemoryDivisor is the fraction of the host's memory that the responses of
+	// replicas may take: a response that grows occupies up to three times what it is
+	// charged. defaultMemoryMB is assumed if the settings name no memory.
+	responseMemoryDivisor = 8
+	defaultMemoryMB       = 256
 	// warmupDelay is the time for opening the first connections before the host becomes
 	// ready.
 	warmupDelay = 600 * time.Millisecond
@@ -95,7 +101,9 @@
 	h.settings.Store(s)
 	recorder := newRecorder(log, h.counters, h.now)
 	h.peers = peerlink.NewClient(dial.TCP)
-	h.client = forward.New(platform.ReplicaCodec{}, dial.TCP, recorder)
+	memory := responseMemory(s.MemoryMB)
+	h.counters.RegisterGauge(telemetry.ResponseMemory, func() float64 { return float64(memory.Used()) })
+	h.client = forward.New(platform.ReplicaCodec{}, dial.TCP, recorder, memory)
 	h.gateway = gateway.New(gateway.Config{
 		DataCentre:  s.DataCentre,
 		Incarnation: incarnation,
@@ -111,6 +119,15 @@
 	return h, nil
 }
 
+// responseMemory returns the budget for the responses of replicas on a host with the given
+// memory in MB, zero if unknown.
+func responseMemory(memoryMB int) *bodymemory.Budget {
+	if memoryMB <= 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return bodymemory.NewBudget(int64(memoryMB) << 20 / responseMemoryDivisor)
+}
+
 // addGauges registers gauges for the version and age of the configuration and for the
 // age and size of the view. They are 0 as long as there is no configuration.
 func (h *Host) addGauges() {
--- a/internal/forward/abandoned_test.go
+++ b/internal/forward/abandoned_test.go
@@ -28,7 +28,7 @@
 	g := NewWithT(t)
 	receiver := testsuite.NewStalledReceiver(t)
 	counter := &connectionCounter{}
-	c := forward.New(bodyCodec{}, dial.TCP, counter)
+	c := forward.New(bodyCodec{}, dial.TCP, counter, nil)
 	c.SetTargets([]forward.Target{{Key: "r", Address: receiver.Address, MaxConnections: 1}})
 	req := newRequest("a", time.Minute)
 	req.Message.Body = make([]byte, testsuite.StalledMessageBytes)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -36,6 +36,7 @@
 // deliver passes the reply to done, unless an earlier one was delivered.
 func (a *attempt) deliver(reply dispatch.Reply) {
 	if a.delivered {
+		reply.ReleaseCharge()
 		return
 	}
 	a.delivered = true
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/bodymemory"
 	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -48,31 +49,11 @@
 // accepts a connection.
 var errReplicaSilent = errors.New("replica is silent")
 
-// errResponseTooLarge is returned for a response that exceeds one of the bounds.
-var errResponseTooLarge = errors.New("response over the size limit")
-
 // idleTimeoutMargin is subtracted from the replica's idle timeout: a connection
 // that has been idle for longer than the difference is not reused, since the
 // replica may be about to close it.
 const idleTimeoutMargin = 300 * time.Millisecond
 
-// boundedReader reads from a connection up to an allowance.
-type boundedReader struct {
-	source io.Reader
-	// allowance is the number of bytes that may still be read.
-	allowance int
-}
-
-// Read implements io.Reader.
-func (r *boundedReader) Read(p []byte) (int, error) {
-	if r.allowance <= 0 {
-		return 0, errResponseTooLarge
-	}
-	n, err := r.source.Read(p[:min(len(p), r.allowance)])
-	r.allowance -= n
-	return n, err
-}
-
 // conn is one connection to a replica.
 type conn struct {
 	net.Conn
@@ -96,9 +77,9 @@
 	unanswered bool
 }
 
-func newConn(netConn net.Conn) *conn {
+func newConn(netConn net.Conn, memory *bodymemory.Budget) *conn {
 	br := readerPool.Get().(*bufio.Reader)
-	source := &boundedReader{source: netConn}
+	source := &boundedReader{source: netConn, memory: memory}
 	br.Reset(source)
 	return &conn{Conn: netConn, source: source, reader: br, idleSince: time.Now(), idleChecker: dial.NewIdleChecker(netConn)}
 }
@@ -164,14 +145,15 @@
 // attempt. A connection that carried a response to another request is not reused.
 func (c *conn) readReply(a *attempt, codec Codec) (dispatch.Reply, connResult) {
 	res := reusable
+	defer c.source.endResponse()
 	for range maxStrayResponses {
-		c.source.allowance = maxHeadBytes
+		c.source.beginResponse(maxHeadBytes)
 		if err := c.awaitResponse(a); err != nil {
-			return c.noResponseReply(a), readErrorResult(a, err)
+			return c.failedReadReply(a, err), readErrorResult(a, err)
 		}
 		resp, body, err := c.readResponse()
 		if err != nil {
-			return c.noResponseReply(a), readErrorResult(a, err)
+			return c.failedReadReply(a, err), readErrorResult(a, err)
 		}
 		c.updateIdleTimeout(resp)
 		if resp.Close {
@@ -183,6 +165,9 @@
 			if c.reader.Buffered() > 0 {
 				res = unusable
 			}
+			if charge := c.source.takeCharge(); charge.Bytes() > 0 {
+				reply.Charge = charge
+			}
 			return reply, res
 		}
 		res = unusable
@@ -278,11 +263,12 @@
 	if resp.ContentLength > maxResponseBytes {
 		return nil, errResponseTooLarge
 	}
-	if resp.ContentLength >= 0 {
+	if resp.ContentLength >= 0 && resp.ContentLength <= bodymemory.FreeBytes {
 		body := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
+	// A longer body takes memory as it arrives, whatever its length is said to be.
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		return nil, errResponseTooLarge
@@ -290,6 +276,14 @@
 	return body, err
 }
 
+// failedReadReply returns the reply for an attempt whose response could not be read.
+func (c *conn) failedReadReply(a *attempt, err error) dispatch.Reply {
+	if errors.Is(err, errMemorySpent) {
+		return a.req.UnknownReply(result.ResponseMemory)
+	}
+	return c.noResponseReply(a)
+}
+
 // noResponseReply returns the reply for an attempt that may have been written, if
 // only in part, and received no complete response: its outcome is unknown.
 func (c *conn) noResponseReply(a *attempt) dispatch.Reply {
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -75,7 +75,7 @@
 		})
 		return testsuite.CountingConn{Conn: clientEnd, Received: &read}, nil
 	}
-	c := forward.New(testCodec{}, openPipe, &connectionCounter{})
+	c := forward.New(testCodec{}, openPipe, &connectionCounter{}, nil)
 	c.SetTargets([]forward.Target{{Key: "r", Address: "replica", MaxConnections: 1}})
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/bodymemory"
 	"github.com/gypsumlug/gypsumlug/internal/dial"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -104,6 +105,7 @@
 	codec    Codec
 	dial     dial.Func
 	observer Observer
+	memory   *bodymemory.Budget
 
 	mu sync.Mutex
 	// pools are the pools of the targets by Target.Key.
@@ -116,12 +118,14 @@
 	tasks chan func()
 }
 
-// New returns a client without targets.
-func New(codec Codec, dialFunc dial.Func, observer Observer) *Client {
+// New returns a client without targets. memory bounds the responses of all connections
+// together; nil means no bound.
+func New(codec Codec, dialFunc dial.Func, observer Observer, memory *bodymemory.Budget) *Client {
 	return &Client{
 		codec:    codec,
 		dial:     dialFunc,
 		observer: observer,
+		memory:   memory,
 		pools:    make(map[string]*pool),
 		attempts: make(map[dispatch.Key]*attempt),
 		tasks:    make(chan func()),
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -98,7 +98,7 @@
 
 func newClient(address string, maxConnections int) (*forward.Client, *connectionCounter) {
 	counter := &connectionCounter{}
-	c := forward.New(testCodec{}, dial.TCP, counter)
+	c := forward.New(testCodec{}, dial.TCP, counter, nil)
 	c.SetTargets([]forward.Target{{Key: "r", Address: address, MaxConnections: maxConnections, KeepIdle: true}})
 	return c, counter
 }
@@ -236,7 +236,7 @@
 func TestUnwrittenAttemptIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	failingDial := func(context.Context, string) (net.Conn, error) { return nil, io.ErrUnexpectedEOF }
-	c := forward.New(testCodec{}, failingDial, &connectionCounter{})
+	c := forward.New(testCodec{}, failingDial, &connectionCounter{}, nil)
 	c.SetTargets([]forward.Target{{Key: "r", Address: "127.0.0.1:1", MaxConnections: 1, KeepIdle: true}})
 	reply := sendAndWait(c, newRequest("a", time.Second))
 	g.Expect(reply.Outcome).To(Equal(dispatch.Refused))
@@ -266,7 +266,7 @@
 		g := NewWithT(t)
 		address := startReplica(t, func(w net.Conn, id string, _ int) { writeResponse(w, id, "x") })
 		counter := &connectionCounter{}
-		c := forward.New(testCodec{}, dial.TCP, counter)
+		c := forward.New(testCodec{}, dial.TCP, counter, nil)
 		target := forward.Target{Key: "r", Address: address, MaxConnections: 1, KeepIdle: keepIdle}
 		c.SetTargets([]forward.Target{target})
 		for i := range 4 {
--- a/internal/forward/late_test.go
+++ b/internal/forward/late_test.go
@@ -32,7 +32,7 @@
 			})
 			return clientEnd, nil
 		}
-		c := forward.New(testCodec{}, openPipe, &counter)
+		c := forward.New(testCodec{}, openPipe, &counter, nil)
 		c.SetTargets([]forward.Target{{Key: "r", Address: "replica", MaxConnections: 1, KeepIdle: true}})
 		start := time.Now()
 		g.Expect(sendAndWait(c, newRequest("a", budget)).Outcome).To(Equal(dispatch.Unknown))
@@ -89,7 +89,7 @@
 					})
 					return clientEnd, nil
 				}
-				c := forward.New(testCodec{}, openPipe, &counter)
+				c := forward.New(testCodec{}, openPipe, &counter, nil)
 				c.SetTargets([]forward.Target{{Key: "r", Address: "replica", MaxConnections: 1, KeepIdle: true}})
 				reply := sendAndWait(c, newRequest("a", time.Second))
 				g.Expect(reply.Outcome).To(Equal(dispatch.Unknown))
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -243,7 +243,7 @@
 		return nil, err
 	}
 	_ = netConn.SetDeadline(deadline)
-	return newConn(netConn), nil
+	return newConn(netConn, p.client.memory), nil
 }
 
 // release passes a connection to the next waiter, adds it to the idle ones, or
--- a/internal/forward/silent_test.go
+++ b/internal/forward/silent_test.go
@@ -45,7 +45,7 @@
 					})
 					return clientEnd, nil
 				}
-				c := forward.New(testCodec{}, openPipe, &counter)
+				c := forward.New(testCodec{}, openPipe, &counter, nil)
 				c.SetTargets([]forward.Target{{Key: "r", Address: "replica", MaxConnections: 1}})
 				req := newRequest("a", 2*replyDelay)
 				req.Suspect = tc.suspect
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumlug/gypsumlug/internal/bodymemory"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/query"
 	"github.com/gypsumlug/gypsumlug/internal/result"
@@ -51,6 +52,8 @@
 	// partial sends replies before the last one; it is nil unless the execution serves a
 	// part whose host takes them.
 	partial *partialReplies
+	// memory holds the charges of the responses, until the answer has been written.
+	memory bodymemory.Holder
 	// done is closed when the request has ended and no more replies are read.
 	done chan struct{}
 }
@@ -233,6 +236,7 @@
 			x.g.cfg.Recorder.EndpointAnnounced(news)
 		}
 		x.g.cfg.Recorder.AttemptEnded(reply.Code)
+		x.holdResponse(&reply)
 		select {
 		case x.replies <- timedReply{Reply: reply, took: now - sent}:
 		case <-x.done:
@@ -240,6 +244,21 @@
 	})
 }
 
+// holdResponse holds the memory of a large response until the request has been answered.
+// Of the part of an index, the records that can be in the answer are kept.
+func (x *execution) holdResponse(reply *dispatch.Reply) {
+	switch {
+	case reply.Charge == nil:
+	case reply.Response == nil:
+		reply.ReleaseCharge()
+	case len(x.route.Shards) > 0:
+		reply.Response.Body = query.TopRecords(reply.Response.Body, x.route.TopRecords)
+		reply.ReleaseCharge()
+	default:
+		x.memory.Hold(reply.Charge)
+	}
+}
+
 // attemptRefused passes on the refusal of an attempt that was not sent.
 func (x *execution) attemptRefused(reply dispatch.Reply) {
 	x.g.cfg.Recorder.AttemptEnded(reply.Code)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/balance"
+	"github.com/gypsumlug/gypsumlug/internal/bodymemory"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/quarantine"
 	"github.com/gypsumlug/gypsumlug/internal/query"
@@ -94,8 +95,13 @@
 	// RetryAfter is the delay after which the caller should retry a request
 	// that did not run.
 	RetryAfter time.Duration
+	// memory holds the charges of the responses to the request.
+	memory *bodymemory.Holder
 }
 
+// Release releases the memory of the answer, once it was written or dropped.
+func (a *Answer) Release() { a.memory.Release() }
+
 // Config holds the settings and dependencies of a gateway that do not change.
 type Config struct {
 	DataCentre string
@@ -233,7 +239,10 @@
 	if groups > 1 {
 		return g.serveDivided(ctx, r, v, route, plan, groups, allowLate)
 	}
-	return g.newExecution(r, v, route, plan, allowLate).serve(ctx)
+	x := g.newExecution(r, v, route, plan, allowLate)
+	answer := x.serve(ctx)
+	answer.memory = &x.memory
+	return answer
 }
 
 // refusalForCapacity returns the code to refuse a request with because too few shards
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -212,8 +212,12 @@
 	if size > maxFrameBytes {
 		return errFrameTooLarge
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	// The message takes memory as it arrives, whatever its size is said to be.
+	data, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err == nil && len(data) < int(size) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return err
 	}
 	return msgpack.Unmarshal(data, message)
--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -57,7 +57,7 @@
 		return result.MissingSnapshotGone
 	case result.RangeNotHeld:
 		return result.MissingMoved
-	case result.EndpointCrashed, result.ConnectionSilent, result.OutcomeUnknown, result.RelayLost, result.ConnectFailed, result.PeerUnreachable:
+	case result.EndpointCrashed, result.ConnectionSilent, result.OutcomeUnknown, result.RelayLost, result.ResponseMemory, result.ConnectFailed, result.PeerUnreachable:
 		return result.MissingLost
 	case result.EndpointFailed, result.BadReply, result.Internal:
 		return result.MissingFailed
--- a/internal/query/forward_test.go
+++ b/internal/query/forward_test.go
@@ -6,12 +6,14 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/gypsumlug/gypsumlug/internal/config"
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
 	"github.com/gypsumlug/gypsumlug/internal/keyrange"
 	"github.com/gypsumlug/gypsumlug/internal/query"
 	"github.com/gypsumlug/gypsumlug/internal/result"
+	"github.com/gypsumlug/gypsumlug/internal/testsuite"
 )
 
 // firstReplica is a ReplicaSelector that picks the first replica that is not
@@ -204,3 +206,19 @@
 	g.Expect(query.MergeRecords(responses, 9)).To(HaveLen(4 * query.RecordSize))
 	g.Expect(query.MergeRecords(nil, 9)).To(BeEmpty())
 }
+
+// The top records of the parts of an answer lead to the same answer as the whole parts.
+func TestTopRecordsOfPartsSuffice(t *testing.T) {
+	testsuite.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 5).Draw(t, "limit")
+		var whole, top []*dispatch.Response
+		for range rapid.IntRange(0, 4).Draw(t, "parts") {
+			body := rapid.SliceOfN(rapid.ByteRange('a', 'c'), 0, 12*query.RecordSize).Draw(t, "body")
+			whole = append(whole, &dispatch.Response{Body: body})
+			top = append(top, &dispatch.Response{Body: query.TopRecords(body, limit)})
+		}
+		if want, got := query.MergeRecords(whole, limit), query.MergeRecords(top, limit); string(want) != string(got) {
+			t.Fatalf("%q in place of %q", got, want)
+		}
+	})
+}
--- a/internal/query/records.go
+++ b/internal/query/records.go
@@ -11,6 +11,22 @@
 // message. A shorter remainder at the end of a response is ignored.
 const RecordSize = 16
 
+// TopRecords returns the greatest records of a response body, falling, at most limit. It
+// holds no reference to the body.
+func TopRecords(body []byte, limit int) []byte {
+	var top [][]byte
+	for ; len(body) >= RecordSize; body = body[RecordSize:] {
+		record := body[:RecordSize]
+		at, _ := slices.BinarySearchFunc(top, record, func(a, b []byte) int { return bytes.Compare(b, a) })
+		if at >= limit {
+			continue
+		}
+		top = slices.Insert(top, at, record)
+		top = top[:min(len(top), limit)]
+	}
+	return slices.Concat(top...)
+}
+
 // MergeRecords returns the limit greatest records of the responses in descending
 // order. Equal records are not merged.
 func MergeRecords(responses []*dispatch.Response, limit int) []byte {
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -154,6 +154,9 @@
 	Cancelled Code = 408
 	// RelayLost: the relay was lost while it had the attempt.
 	RelayLost Code = 409
+	// ResponseMemory: the endpoint's response was given up, because the responses on this
+	// host take all the memory that they may.
+	ResponseMemory Code = 410
 	// EndpointFailed: the endpoint ran the request and failed.
 	EndpointFailed Code = 500
 	// BadReply: the endpoint's reply broke the protocol.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -76,6 +76,7 @@
 	{Code: ConnectionSilent, Name: "connection-silent", Meaning: "The connection went silent after the request was written.", Action: "For a submit: settle it with the endpoint's owner."},
 	{Code: Cancelled, Name: "cancelled", Meaning: "The request or attempt was cancelled after it was sent, for example because the caller closed its connection.", Action: "None."},
 	{Code: RelayLost, Name: "relay-lost", Meaning: "The relay was lost while it had the attempt.", Action: "Internal. If it repeats, look at the host that relays."},
+	{Code: ResponseMemory, Name: "response-memory", Meaning: "The endpoint's response was given up, because the responses on this host take all the memory that they may.", Action: "For a submit: settle it with the endpoint's owner; operators: look for endpoints that send large responses."},
 	{Code: EndpointFailed, Name: "endpoint-failed", Meaning: "The endpoint ran the request and failed.", Action: "Report it to the endpoint's owners."},
 	{Code: BadReply, Name: "bad-reply", Meaning: "The endpoint's reply broke the protocol.", Action: "Operators: check the endpoint's version."},
 	{Code: Internal, Name: "internal", Meaning: "An internal fault ended the request.", Action: "Report it with the log line."},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -165,6 +165,9 @@
 	// or by a host that read it, and ViewReplicas is the number of known replicas.
 	ViewAge      = "gypsumlug_view_age_seconds"
 	ViewReplicas = "gypsumlug_view_replicas"
+	// ResponseMemory is what the responses of replicas are charged for their memory now,
+	// in bytes.
+	ResponseMemory = "gypsumlug_response_memory_bytes"
 )
 
 // maxLatencyRoutes bounds the number of routes with histograms of their own. All
