Refuse requests that can't end before the host stops

Operators reported requests that came late in the grace period of a planned stop and were cut.

Cause: a stopping host took every request whatever time was left; one that came after the final answers was sent and given up at once.

Change: from SIGTERM on a request is refused as not run (312), with a short Retry-After, if its route usually takes longer than what is left: the 90th percentile of the last 32 successful attempts. It is asked again right before an attempt is written.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -323,6 +323,7 @@
 	deadline := time.Now().Add(h.settings.Load().Grace() - exitReserve)
 	h.stopping.Store(true)
 	h.log.Info().Int("running", h.gateway.Running()).Msg("stopping")
+	h.gateway.StopAt(h.now() + time.Until(deadline) - answerReserve)
 	time.Sleep(min(balancerDelay, time.Until(deadline)/2))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -37,6 +37,7 @@
 	s.replicas.AttemptEnded(now, a.load, reply)
 	if reply.Outcome == dispatch.OK {
 		s.recordLatency(route, took)
+		s.recordDuration(route, took)
 	}
 	return s.attemptsToBlame(now, a.blame, reply, needless)
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -216,7 +216,7 @@
 		x.attemptRefused(req.RefusedReply(code))
 		return
 	}
-	req.Barred = func() result.Code { return x.g.shared.barred(x.g.cfg.Now(), req.Endpoint) }
+	req.Barred = func() result.Code { return x.barred(req.Endpoint) }
 	attempt := x.g.shared.attemptSent(sent, x.route.Name, &req, x.request.description)
 	x.g.cfg.Sender.Send(req, func(reply dispatch.Reply) {
 		now := x.g.cfg.Now()
@@ -244,6 +244,14 @@
 	})
 }
 
+// barred returns the code to refuse an attempt with that is about to be written, or zero.
+func (x *execution) barred(endpoint string) result.Code {
+	if x.g.endsTooLate(x.route) {
+		return result.ExpiredBeforeSend
+	}
+	return x.g.shared.barred(x.g.cfg.Now(), endpoint)
+}
+
 // holdResponse holds the memory of a large response until the request has been answered.
 // Of the part of an index, the records that can be in the answer are kept.
 func (x *execution) holdResponse(reply *dispatch.Reply) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,6 +142,8 @@
 	running  atomic.Int64
 	// stopping is closed to make the requests in progress answer immediately.
 	stopping chan struct{}
+	// stopAt is when Stop will be called, as a duration; zero if that is not known.
+	stopAt atomic.Int64
 }
 
 // New returns a gateway. It refuses every request until SetView is called.
@@ -182,11 +184,6 @@
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
-// Stop makes the requests in progress, and any that still arrive, answer
-// immediately with the replies received so far. It must be called at most once,
-// before the process exits.
-func (g *Gateway) Stop() { close(g.stopping) }
-
 // Serve answers a request. It returns early if ctx is cancelled because the
 // caller disconnected.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
@@ -203,6 +200,9 @@
 	if r.callerLeft(ctx) {
 		return g.refuse(r, route, result.CallerGone)
 	}
+	if g.endsTooLate(route) {
+		return g.refuseStopping(r, route)
+	}
 	r.Message.Once = !route.Repeatable
 	r.description = describe(&r.Message)
 	suspicion := g.shared.suspicion(g.cfg.Now(), r.description)
--- a/internal/gateway/shared_state.go
+++ b/internal/gateway/shared_state.go
@@ -46,6 +46,8 @@
 	groupsByService map[string]int
 	budgets         map[string]*balance.Budget
 	hedgeLatencies  map[string]*balance.QuantileEstimator
+	// recentDurations are those of successful attempts, by route.
+	recentDurations map[string]*balance.RecentDurations
 	// throttles holds one throttle for each index, keyed by the index's first
 	// shard.
 	throttles map[string]*balance.Throttle
@@ -62,16 +64,17 @@
 
 func newSharedState(dataCentre string, self split.Peer, rng *rand.Rand) *sharedState {
 	s := &sharedState{
-		rng:            rng,
-		replicas:       balance.NewReplicaTable(dataCentre),
-		hosts:          1,
-		budgets:        make(map[string]*balance.Budget),
-		hedgeLatencies: make(map[string]*balance.QuantileEstimator),
-		throttles:      make(map[string]*balance.Throttle),
-		suspects:       quarantine.New(quarantine.Config{MaxRequests: maxSuspects, ProveByCount: true}),
-		attempts:       quarantine.NewAttempts(),
-		peers:          split.NewPeerTable(self),
-		beliefs:        belief.NewTable(self.Address),
+		rng:             rng,
+		replicas:        balance.NewReplicaTable(dataCentre),
+		hosts:           1,
+		budgets:         make(map[string]*balance.Budget),
+		hedgeLatencies:  make(map[string]*balance.QuantileEstimator),
+		recentDurations: make(map[string]*balance.RecentDurations),
+		throttles:       make(map[string]*balance.Throttle),
+		suspects:        quarantine.New(quarantine.Config{MaxRequests: maxSuspects, ProveByCount: true}),
+		attempts:        quarantine.NewAttempts(),
+		peers:           split.NewPeerTable(self),
+		beliefs:         belief.NewTable(self.Address),
 	}
 	s.limits = ratelimit.NewTable(self.Address, s.sendingHosts)
 	return s
