Tell hosts that start all that the fleet has learned, and let news take turns

Cause: heartbeats named the same three requests, those that expire last, and a host that starts was told nothing else.

Ruled out: that the restarted hosts refuse the hints (they merge each one that comes).

--- a/internal/belief/belief.go
+++ b/internal/belief/belief.go
@@ -215,3 +215,15 @@
 	}
 	return hints
 }
+
+// AllLeaving returns the endpoints that have said that they leave, for a host that has
+// just started.
+func (t *Table) AllLeaving() []string {
+	var leaving []string
+	for _, endpoint := range t.order {
+		if t.entries[endpoint].leaving {
+			leaving = append(leaving, endpoint)
+		}
+	}
+	return leaving
+}
--- a/internal/discovery/convergence_test.go
+++ b/internal/discovery/convergence_test.go
@@ -323,3 +323,20 @@
 		}
 	})
 }
+
+// Guards against a restarted host that is never told what the fleet has learned, since it
+// has read the store before it heard of a peer.
+func TestHostThatStartsAsksForNewsOnce(t *testing.T) {
+	g := NewWithT(t)
+	m := discovery.NewMachine(discovery.Member{Address: "10.0.0.1:1", DataCentre: "z", Start: 1}, nil, 0, rand.New(rand.NewPCG(1, 1)))
+	m.HandleReadResult(0, listingResult(10, "a"))
+	heartbeat := discovery.Heartbeat{Format: discovery.FormatVersion, From: "10.0.0.2:1", DataCentre: "z", Version: 1, Revision: 10}
+	asked := m.HandleHeartbeat(0, heartbeat)
+	g.Expect(asked.FetchFrom).To(Equal("10.0.0.2:1"))
+	g.Expect(asked.FetchRequest.News).To(BeTrue())
+	m.HandleState(0, "10.0.0.2:1", nil, errRefused)
+	asked = m.HandleHeartbeat(time.Second, heartbeat)
+	g.Expect(asked.FetchRequest.News).To(BeTrue(), "asked again after a failure")
+	m.HandleState(time.Second, "10.0.0.2:1", &discovery.State{Format: discovery.FormatVersion, Revision: 10, Since: 10}, nil)
+	g.Expect(m.HandleHeartbeat(2*time.Second, heartbeat).FetchRequest.News).To(BeFalse())
+}
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -159,6 +159,8 @@
 	// earliest time of the next such fetch.
 	wantsListing bool
 	nextListing  time.Duration
+	// hasNews is set once a peer has told its news to this host.
+	hasNews bool
 	// nextAudit is when this host, if it is the reader, next reads a full listing.
 	nextAudit    time.Duration
 	readInFlight bool
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -67,6 +67,8 @@
 	// the revision of its replicas. A Revision of zero requests all replicas.
 	Version  uint64 `msgpack:"v"`
 	Revision uint64 `msgpack:"r"`
+	// News asks for the news as well.
+	News bool `msgpack:"w,omitempty"`
 }
 
 // State is a host's state of the store.
@@ -85,6 +87,19 @@
 	// Members are all hosts that the answering host knows. It is set if Revision of
 	// the request is zero, for a new host.
 	Members []Member `msgpack:"m,omitempty"`
+	// News is set if the request asks for it.
+	News *News `msgpack:"w,omitempty"`
+}
+
+// News is what a host has learned of requests and replicas, and the store doesn't have.
+// Heartbeats tell it bit by bit; a host that starts gets all of it from one that runs.
+type News struct {
+	// Suspects are requests that are suspected of crashing replicas.
+	Suspects []peerwire.SuspectHint `msgpack:"q,omitempty"`
+	// RateLimits are rate limits that replicas named.
+	RateLimits []ratelimit.Hint `msgpack:"t,omitempty"`
+	// LeavingReplicas are replicas that said that they leave.
+	LeavingReplicas []string `msgpack:"w,omitempty"`
 }
 
 // ErrHistoryCompacted is returned when the store no longer has the changes after a
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -12,7 +12,7 @@
 	newer := h.Revision > m.catalog.Revision() || !m.catalog.Loaded() && h.Revision > 0
 	sameReplicas := m.catalog.Loaded() && h.Digest == m.catalog.Digest()
 	switch {
-	case h.Version > m.configVersion(), newer && !sameReplicas:
+	case h.Version > m.configVersion(), newer && !sameReplicas, !m.hasNews:
 		m.requestState(now, h.From)
 	case sameReplicas && h.Revision >= m.catalog.Revision() && h.Version == m.configVersion():
 		m.catalog.Confirm(h.Revision, now-h.Age)
@@ -56,7 +56,7 @@
 	}
 	m.fetchInFlight = true
 	m.pendingActions.FetchFrom = from
-	request := StateRequest{Format: FormatVersion, Version: m.configVersion()}
+	request := StateRequest{Format: FormatVersion, Version: m.configVersion(), News: !m.hasNews}
 	if !m.wantsListing {
 		request.Revision = m.catalog.ResumeRevision()
 	}
@@ -74,6 +74,7 @@
 	for _, member := range s.Members {
 		m.members.recordHeartbeat(member, now-member.Age)
 	}
+	m.hasNews = true
 	changed := m.adoptConfig(s.Config, from)
 	changed = m.adoptReplicas(now, s) || changed
 	if changed {
--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -75,6 +75,10 @@
 	// heartbeats. RecordLeaving is called with those in other hosts' heartbeats.
 	Leaving       func() []string
 	RecordLeaving func([]string)
+	// News returns all that this host has learned, for a host that has just started, and
+	// RecordNews is called with what another host has.
+	News       func() *discovery.News
+	RecordNews func(*discovery.News)
 	// CountDifference is called when this host has other replicas than a peer at the same
 	// revision, and fetches the peer's listing.
 	CountDifference func()
@@ -220,5 +224,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	state, err := a.fetchState(callCtx, from, &request)
+	if err == nil && state.News != nil {
+		a.opts.RecordNews(state.News)
+	}
 	a.sendEvent(ctx, func(now time.Duration) discovery.Actions { return a.machine.HandleState(now, from, state, err) })
 }
--- a/internal/discoveryagent/transport.go
+++ b/internal/discoveryagent/transport.go
@@ -101,6 +101,9 @@
 	states := make(chan *peerlink.State, 1)
 	a.sendEvent(ctx, func(now time.Duration) discovery.Actions {
 		s := a.machine.StateFor(now, *r)
+		if r.News {
+			s.News = a.opts.News()
+		}
 		states <- peerlink.NewState(s, a.shareConfig(s.Config))
 		return discovery.Actions{}
 	})
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -233,6 +233,8 @@
 		RecordRateLimits: h.gateway.MergeRateLimitHints,
 		Leaving:          h.gateway.LeavingHints,
 		RecordLeaving:    h.gateway.MergeLeavingHints,
+		News:             h.gateway.News,
+		RecordNews:       h.gateway.MergeNews,
 		CountDifference:  func() { h.counters.Inc(telemetry.ReplicaDifferences) },
 		Log:              h.log,
 	}, machine)
--- a/internal/quarantine/hints.go
+++ b/internal/quarantine/hints.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -35,6 +36,9 @@
 	case r.rank == cleared && t.degree(received) == view.Suspected && knowsCrashesOf(r, received):
 		// The request ran to completion on this host after the same crashes.
 	case received.rank >= r.rank:
+		if received.rank > r.rank {
+			r.toldAt = 0
+		}
 		r.addEndpoints(received.endpoints)
 		r.rank = received.rank
 		r.expires = max(r.expires, received.expires)
@@ -49,7 +53,7 @@
 // ran to completion, knew of the same crashes.
 func (t *Tracker) clearIfSameCrashes(r, received *record) {
 	if t.degree(r) == view.Suspected && knowsCrashesOf(received, r) {
-		r.rank = cleared
+		r.rank, r.toldAt = cleared, 0
 	}
 }
 
@@ -81,11 +85,33 @@
 }
 
 // Hints returns at most n hints for other hosts, each with its remaining time to
-// live. Records of the highest rank come first, and among those of equal rank
-// the ones that expire last.
+// live. Records take turns: those that were never told since they changed come first,
+// then those that were told longest ago. Proven ones share all hints, but one of several if
+// there are others.
 func (t *Tracker) Hints(now time.Duration, n int) []peerwire.SuspectHint {
 	t.Tick(now)
-	records := t.highestRanked(n)
+	others := t.nextInTurn(n, func(r *record) bool { return r.rank != proven })
+	forOthers := min(len(others), 1)
+	told := t.nextInTurn(n, func(r *record) bool { return r.rank == proven })
+	told = told[:min(len(told), max(n-forOthers, 1))]
+	told = append(told, others[:min(len(others), n-len(told))]...)
+	for _, r := range told {
+		t.turn++
+		r.toldAt = t.turn
+	}
+	return t.hintsOf(told)
+}
+
+// AllHints returns hints of all records, the highest rank first, for a host that has just
+// started.
+func (t *Tracker) AllHints(now time.Duration) []peerwire.SuspectHint {
+	t.Tick(now)
+	records := slices.Collect(maps.Values(t.records))
+	slices.SortFunc(records, func(a, b *record) int { return compareRecords(b, a) })
+	return t.hintsOf(records)
+}
+
+func (t *Tracker) hintsOf(records []*record) []peerwire.SuspectHint {
 	hints := make([]peerwire.SuspectHint, len(records))
 	for i, r := range records {
 		hints[i] = peerwire.SuspectHint{
@@ -115,18 +141,26 @@
 	delete(t.records, lowest.fingerprint)
 }
 
-// highestRanked returns at most n records, in the reverse order of eviction.
-func (t *Tracker) highestRanked(n int) []*record {
-	var top []*record
+// nextInTurn returns at most n matching records, in the order in which they are told.
+func (t *Tracker) nextInTurn(n int, matches func(*record) bool) []*record {
+	var next []*record
 	for _, r := range t.records {
-		at, _ := slices.BinarySearchFunc(top, r, func(a, b *record) int { return compareRecords(b, a) })
+		if !matches(r) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(next, r, compareTurns)
 		if at >= n {
 			continue
 		}
-		top = slices.Insert(top, at, r)
-		top = top[:min(len(top), n)]
+		next = slices.Insert(next, at, r)
+		next = next[:min(len(next), n)]
 	}
-	return top
+	return next
+}
+
+// compareTurns orders records by their turn to be told.
+func compareTurns(a, b *record) int {
+	return cmp.Or(cmp.Compare(a.toldAt, b.toldAt), compareRecords(b, a))
 }
 
 // compareRecords orders records by eviction: the lowest is evicted first.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -102,6 +102,9 @@
 	// suspectSince is when this host recorded the first of these crashes.
 	suspectSince time.Duration
 	expires      time.Duration
+	// toldAt is the turn in which the record was last told to another host; zero if it
+	// has changed since.
+	toldAt uint64
 }
 
 func (r *record) hasEndpoint(endpoint string) bool { return slices.Contains(r.endpoints, endpoint) }
@@ -120,6 +123,8 @@
 	records     map[view.Fingerprint]*record
 	completions completions
 	now         time.Duration
+	// turn counts the hints that were given.
+	turn uint64
 }
 
 // New returns a tracker without records.
@@ -158,6 +163,7 @@
 		r.rank = proven
 	}
 	r.expires = t.now + t.timeToLive(r.rank)
+	r.toldAt = 0
 	if !ok {
 		t.insert(r)
 	}
@@ -200,7 +206,7 @@
 	t.Tick(now)
 	for _, fp := range fps {
 		if t.Degree(fp) == view.Suspected {
-			t.records[fp].rank = cleared
+			t.records[fp].rank, t.records[fp].toldAt = cleared, 0
 		}
 	}
 }
