Refuse attempts that wait for a connection to a replica that is taken away

Read by the review, not shown: all waiters but the first waited until their deadline, since nothing told them that the replica is no longer used.

Before: TestWaitingAttemptsAreRefusedWhenTheReplicaIsTakenAway failed. After: passes.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -283,3 +283,33 @@
 		}
 	}
 }
+
+// Guards against attempts that wait until their deadline for a connection to a replica that
+// has been taken away: they did not run, and are refused at once.
+func TestWaitingAttemptsAreRefusedWhenTheReplicaIsTakenAway(t *testing.T) {
+	g := NewWithT(t)
+	const waiting = 5
+	begun, end := make(chan struct{}, 1), make(chan struct{})
+	c, _ := newClient(startReplica(t, func(w net.Conn, id string, _ int) {
+		begun <- struct{}{}
+		<-end
+		writeResponse(w, id, "x")
+	}), 1)
+	replies := make(chan dispatch.Reply, waiting+1)
+	send := func(id string) { c.Send(newRequest(id, time.Minute), func(r dispatch.Reply) { replies <- r }) }
+	send("running")
+	<-begun
+	for n := range waiting {
+		send(strconv.Itoa(n))
+	}
+	time.Sleep(50 * time.Millisecond)
+	c.SetTargets(nil)
+	for range waiting {
+		var reply dispatch.Reply
+		g.Eventually(replies, 10*time.Second).Should(Receive(&reply))
+		g.Expect(reply.Outcome).To(Equal(dispatch.Refused))
+		g.Expect(reply.Code).To(Equal(result.UnknownEndpoint))
+	}
+	close(end)
+	g.Eventually(replies, 10*time.Second).Should(Receive(HaveField("Outcome", dispatch.OK)))
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -68,12 +68,16 @@
 	p.idle = nil
 }
 
-// retire closes the idle connections. Those in use close when they are released.
+// retire closes the idle connections. Those in use close when they are released. Attempts
+// that wait for a connection are refused.
 func (p *pool) retire() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retired = true
 	p.closeIdleLocked()
+	for len(p.waiters) > 0 {
+		p.notifyWaiterLocked(nil)
+	}
 }
 
 // warmUp opens a connection if there is none and idle ones are kept.
