Keep the place of a replica that an earlier attempt reached

Read by the review, not shown: a request could run on more replicas than its route allows. Each attempt that found no connection freed the place of its replica, also if an earlier attempt had run there.

Before: TestRequestReachesNoMoreThanMaxReplicas (rapid) reached three replicas for two allowed. After: passes.

--- a/internal/query/attempt.go
+++ b/internal/query/attempt.go
@@ -95,7 +95,9 @@
 	s := &q.shards[i]
 	s.reason = r.Code
 	if neverSent(r.Code) {
-		s.removeFromSentTo(a.endpoint)
+		s.notReached(a.endpoint)
+	} else {
+		s.reached = appendUnique(s.reached, a.endpoint)
 	}
 	if q.atMostOnce() && r.Outcome != dispatch.Refused {
 		q.giveUp(s, missingCode(r.Code))
--- a/internal/query/forward_test.go
+++ b/internal/query/forward_test.go
@@ -222,3 +222,35 @@
 		}
 	})
 }
+
+// Guards against a shard that runs on more replicas than MaxReplicas: an attempt that found
+// no connection does not free the place of a replica that an earlier attempt reached.
+func TestRequestReachesNoMoreThanMaxReplicas(t *testing.T) {
+	const maxReplicas = 2
+	testsuite.Check(t, func(t *rapid.T) {
+		q := newForwardQuery(1, query.Forward{Message: &dispatch.Message{}, MaxReplicas: maxReplicas, UnlimitedRetries: true}, firstReplica{})
+		now := time.Duration(0)
+		actions := q.Start(now)
+		reached := map[string]bool{}
+		for range 40 {
+			for _, d := range actions.Dispatch {
+				reply := d.RefusedReply(result.ConnectFailed)
+				if code := rapid.SampledFrom([]result.Code{result.ConnectFailed, result.EndpointShed, result.OutcomeUnknown}).Draw(t, "code"); code != result.ConnectFailed {
+					reached[d.Endpoint] = true
+					reply = d.UnknownReply(code)
+				}
+				actions = q.Reply(now, reply)
+			}
+			if actions.Answer != nil {
+				break
+			}
+			if len(actions.Dispatch) == 0 {
+				now = q.NextTick()
+				actions = q.Tick(now)
+			}
+		}
+		if len(reached) > maxReplicas {
+			t.Fatalf("reached %v", reached)
+		}
+	})
+}
--- a/internal/query/shard.go
+++ b/internal/query/shard.go
@@ -41,7 +41,9 @@
 	withoutData []string
 	// sentTo are the endpoints to which an attempt was sent. MaxReplicas bounds
 	// them for a forwarded message.
-	sentTo  []string
+	sentTo []string
+	// reached are those of sentTo that an attempt which has ended reached, or may have.
+	reached []string
 	hedges  int
 	retries int
 	// hedgeAt is when the next hedge is due; zero means that none is planned.
@@ -97,8 +99,13 @@
 	return len(s.withoutData) > 0
 }
 
-// removeFromSentTo removes an endpoint from sentTo that the attempt did not reach.
-func (s *shard) removeFromSentTo(endpoint string) {
+// notReached removes an endpoint from sentTo that an attempt did not reach, unless another
+// attempt did or is under way.
+func (s *shard) notReached(endpoint string) {
+	underWay := func(a attempt) bool { return a.endpoint == endpoint }
+	if slices.Contains(s.reached, endpoint) || slices.ContainsFunc(s.openAttempts, underWay) {
+		return
+	}
 	if i := slices.Index(s.sentTo, endpoint); i >= 0 {
 		s.sentTo = slices.Delete(s.sentTo, i, i+1)
 	}
