--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
@@ -64,11 +65,15 @@
 // mergeRecords returns the top records of the responses.
 func (x *execution) mergeRecords(responses []*dispatch.Response) []byte {
 	startedAt := x.g.cfg.Now()
-	records := query.MergeRecords(responses, x.route.TopRecords)
+	records := query.MergeRecords(responses, x.topRecords())
 	x.stages.Merge = x.g.cfg.Now() - startedAt
 	return records
 }
 
+// topRecords returns the number of records to keep. The host that sent a part may have
+// another version of the route.
+func (x *execution) topRecords() int { return cmp.Or(x.request.topRecords, x.route.TopRecords) }
+
 // notRunCode returns the code that says why no endpoint ran the request.
 func notRunCode(a *query.Answer) result.Code {
 	if a.Code.Class() == result.ClassNotRun {
--- a/internal/gateway/divided_query.go
+++ b/internal/gateway/divided_query.go
@@ -116,10 +116,11 @@
 	}
 	d.groups[group].outstanding, d.groups[group].address = true, address
 	request := &split.Request{
-		Index:   d.plan.Digest,
-		Route:   d.route.Name,
-		Shards:  d.groups[group].shards,
-		Message: d.request.Message,
+		Index:      d.plan.Digest,
+		Route:      d.route.Name,
+		Shards:     d.groups[group].shards,
+		TopRecords: d.route.TopRecords,
+		Message:    d.request.Message,
 	}
 	sentAt := d.g.cfg.Now()
 	request.OnPartial = d.partialReplyTo(group, address, sentAt)
--- a/internal/gateway/divided_query_test.go
+++ b/internal/gateway/divided_query_test.go
@@ -344,3 +344,23 @@
 		g.Expect(sendQuery(hosts[0]).Code.Class()).To(Equal(result.ClassUnknown))
 	})
 }
+
+// Guards against an answer that lacks records, since the hosts that served its parts had a
+// version of the route with fewer of them, while a version is spreading.
+func TestPartsHoldTheRecordsThatTheAskingHostNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, _, hosts := newFleet(24, 100)
+		older, replicas, readAt := dividedIndex(0)
+		older.Routes[0].TopRecords = 1
+		for _, h := range hosts[1:] {
+			h.SetView(routing.NewView(older, replicas, readAt))
+		}
+		a := sendQuery(hosts[0])
+		expectComplete(g, a)
+		for i := range 10 {
+			g.Expect(string(a.Records[i*query.RecordSize:])).To(HavePrefix(fmt.Sprintf("s%02d", shardCount-1-i)))
+		}
+		g.Expect(f.requested).NotTo(BeEmpty())
+	})
+}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -260,7 +260,7 @@
 	case reply.Response == nil:
 		reply.ReleaseCharge()
 	case len(x.route.Shards) > 0:
-		reply.Response.Body = query.TopRecords(reply.Response.Body, x.route.TopRecords)
+		reply.Response.Body = query.TopRecords(reply.Response.Body, x.topRecords())
 		reply.ReleaseCharge()
 	default:
 		x.memory.Hold(reply.Charge)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,9 @@
 
 	// description is set before the request is served.
 	description *quarantine.Request
+	// topRecords is the number of records that the host which sent a part needs; zero
+	// means that of the route.
+	topRecords int
 }
 
 // callerLeft reports whether the caller of a request with the context has disconnected.
--- a/internal/split/split.go
+++ b/internal/split/split.go
@@ -51,8 +51,11 @@
 	Index uint64 `msgpack:"i"`
 	Route string `msgpack:"r"`
 	// Shards are indexes into the route's shards.
-	Shards  []int            `msgpack:"s"`
-	Message dispatch.Message `msgpack:"m"`
+	Shards []int `msgpack:"s"`
+	// TopRecords is the number of records that the sending host needs of the shards, by
+	// its version of the route; zero from a host of an earlier version.
+	TopRecords int              `msgpack:"k,omitempty"`
+	Message    dispatch.Message `msgpack:"m"`
 	// Target is the time within which the reply is on time.
 	Target time.Duration `msgpack:"t"`
 	// TimeLimit is the time until which further replies are useful. If it is not above
