Split files that have grown: actions of discovery, waiters of a pool, targets and stop of a host

Moves only, but for the test of a killed reader: it now checks the three seconds from the removal, not from the kill (stricter), and three tests share how they settle a fleet.

--- a/internal/discovery/convergence_test.go
+++ b/internal/discovery/convergence_test.go
@@ -28,11 +28,15 @@
 	faultOrders = 400
 )
 
-// registerReplicas registers n replicas.
-func (s *simulation) registerReplicas(n int) {
-	for i := range n {
+// newSettledSimulation returns a fleet of hosts that have the state of the store, with 12
+// replicas.
+func newSettledSimulation(hosts int, seed uint64) *simulation {
+	s := newSimulation(hosts, seed)
+	for i := range 12 {
 		s.registerReplica(fmt.Sprintf("r%02d", i), false)
 	}
+	s.advance(8 * time.Second)
+	return s
 }
 
 // reader returns the host that read the store last.
@@ -53,9 +57,7 @@
 func TestReplicasThatLeaveTogetherAreDroppedByAllHosts(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(10) {
-		s := newSimulation(8, seed)
-		s.registerReplicas(12)
-		s.advance(8 * time.Second)
+		s := newSettledSimulation(8, seed)
 		g.Expect(s.staleHosts(s.hosts)).To(BeEmpty())
 		s.publishConfig()
 		s.advance(40 * time.Millisecond)
@@ -70,14 +72,13 @@
 func TestReplicasThatLeaveTogetherAreDroppedThoughTheReaderIsKilled(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(20) {
-		s := newSimulation(8, seed)
-		s.registerReplicas(12)
-		s.advance(8 * time.Second)
+		s := newSettledSimulation(8, seed)
 		reader := s.reader()
 		s.removeReplica("r03", "r04", "r05")
-		s.advance(time.Duration(s.rng.IntN(1900)) * time.Millisecond)
+		killedAfter := time.Duration(s.rng.IntN(1900)) * time.Millisecond
+		s.advance(killedAfter)
 		reader.dead = true
-		s.advance(drainBound)
+		s.advance(drainBound - killedAfter)
 		g.Expect(s.staleHosts(s.hosts)).To(BeEmpty(), "seed %d", seed)
 	}
 }
@@ -87,9 +88,7 @@
 func TestReplicaThatNewReaderNeverKnewIsDropped(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(10) {
-		s := newSimulation(7, seed)
-		s.registerReplicas(12)
-		s.advance(8 * time.Second)
+		s := newSettledSimulation(7, seed)
 		killed := append([]*host{s.reader()}, s.hosts[0], s.hosts[3])
 		for _, h := range killed {
 			h.dead = true
@@ -145,9 +144,7 @@
 // from time to time.
 func TestMissedRemovalIsFoundByTheReader(t *testing.T) {
 	g := NewWithT(t)
-	s := newSimulation(8, 3)
-	s.registerReplicas(12)
-	s.advance(8 * time.Second)
+	s := newSettledSimulation(8, 3)
 	s.removeReplica("r03")
 	s.replicaChanges = slices.DeleteFunc(s.replicaChanges, func(e catalog.Entry) bool { return e.ID == "r03" })
 	s.advance(bound)
@@ -156,155 +153,6 @@
 	g.Expect(s.staleHosts(s.hosts)).To(BeEmpty())
 }
 
-// faultModel injects random faults into a simulation and knows which hosts are in touch
-// and how long ago each replica was removed.
-type faultModel struct {
-	*simulation
-	// removedAt is when each replica that is not registered was removed. calmlyRemoved
-	// has those that were removed while the store had been without a fault for touchTime.
-	removedAt     map[string]time.Duration
-	calmlyRemoved map[string]bool
-	// troubledAt is when a fault last affected a host.
-	troubledAt map[*host]time.Duration
-	// cutFromStore and cutFromPeers are the hosts that can't reach the store, or their
-	// peers. refused is set while the store refuses all hosts.
-	cutFromStore, cutFromPeers map[*host]bool
-	refused                    bool
-	refusedAt                  time.Duration
-	nextID                     int
-}
-
-func newFaultModel(t *rapid.T) *faultModel {
-	m := &faultModel{
-		simulation: newSimulation(rapid.IntRange(3, 9).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed")),
-		removedAt:  map[string]time.Duration{}, calmlyRemoved: map[string]bool{}, troubledAt: map[*host]time.Duration{},
-		cutFromStore: map[*host]bool{}, cutFromPeers: map[*host]bool{},
-		refusedAt: -touchTime,
-	}
-	m.storeDown = func(h *host) bool { return m.refused || m.cutFromStore[h] }
-	m.partitioned = func(a, b *host) bool { return m.cutFromPeers[a] != m.cutFromPeers[b] }
-	for range 12 {
-		m.addReplica()
-	}
-	m.advance(8 * time.Second)
-	return m
-}
-
-func (m *faultModel) addReplica() {
-	m.nextID++
-	m.registerReplica(fmt.Sprintf("r%03d", m.nextID), false)
-}
-
-// registered returns the IDs of the replicas in the store.
-func (m *faultModel) registered() []string {
-	var out []string
-	for n := range m.nextID {
-		id := fmt.Sprintf("r%03d", n+1)
-		if _, removed := m.removedAt[id]; !removed {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-func (m *faultModel) removeReplicas(n int) {
-	ids := m.registered()
-	for _, id := range ids[:min(n, len(ids))] {
-		m.removeReplica(id)
-		m.removedAt[id] = m.now
-		m.calmlyRemoved[id] = m.storeIsCalm()
-	}
-}
-
-// inject injects one random event.
-func (m *faultModel) inject(t *rapid.T) {
-	h := m.hosts[rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")]
-	switch rapid.IntRange(0, 11).Draw(t, "event") {
-	case 0:
-		m.publishConfig()
-	case 1:
-		m.addReplica()
-	case 2:
-		m.removeReplicas(1)
-	case 3:
-		m.removeReplicas(len(m.registered())/3 + 1)
-	case 4:
-		m.addReplica()
-		m.addReplica()
-		m.addReplica()
-	case 5: // many hosts are killed at one moment
-		for _, killed := range m.hosts {
-			if rapid.Bool().Draw(t, "killed") {
-				killed.dead = true
-			}
-		}
-	case 6:
-		m.startHost(h)
-		m.troubledAt[h] = m.now
-	case 7:
-		h.frozen = !h.frozen && !h.dead
-		m.troubledAt[h] = m.now
-	case 8:
-		m.cutFromStore[h] = !m.cutFromStore[h]
-		m.troubledAt[h] = m.now
-	case 9:
-		m.cutFromPeers[h] = !m.cutFromPeers[h]
-	case 10:
-		m.refused = !m.refused
-	case 11:
-		m.oldestRevision = m.revision
-	}
-	if m.refused {
-		m.refusedAt = m.now
-	}
-}
-
-// run advances the simulation and fails if a host in touch uses a replica that was removed
-// before drainBound.
-func (m *faultModel) run(t *rapid.T, d time.Duration) {
-	for end := m.now + d; m.now < end; {
-		m.advance(50 * time.Millisecond)
-		if m.refused {
-			m.refusedAt = m.now
-		}
-		for _, h := range m.hosts {
-			if h.dead || h.frozen || m.cutFromStore[h] {
-				m.troubledAt[h] = m.now
-			}
-			if m.inTouch(h) {
-				m.checkRemoved(t, h)
-			}
-		}
-	}
-}
-
-func (m *faultModel) inTouch(h *host) bool {
-	return m.now-m.troubledAt[h] >= touchTime && m.storeIsCalm()
-}
-
-func (m *faultModel) storeIsCalm() bool { return m.now-m.refusedAt >= touchTime }
-
-func (m *faultModel) checkRemoved(t *rapid.T, h *host) {
-	for id, at := range m.removedAt {
-		if m.calmlyRemoved[id] && m.now-at > drainBound && h.view != nil && h.view.Replicas[id+"@0"] != nil {
-			t.Fatalf("%s uses %s %v after its removal", h.address, id, m.now-at)
-		}
-	}
-}
-
-// endFaults ends all faults and starts the hosts that are dead.
-func (m *faultModel) endFaults() {
-	m.refused, m.heartbeatLoss = false, 0
-	clear(m.cutFromStore)
-	clear(m.cutFromPeers)
-	for _, h := range m.hosts {
-		h.frozen = false
-		if h.dead {
-			m.startHost(h)
-		}
-	}
-}
-
 // Hosts in touch do not use a replica that was removed, whichever hosts are killed,
 // restarted, frozen or cut off around it, and however many replicas leave together. Once
 // the faults end, all hosts have exactly the store's replicas.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -38,17 +38,6 @@
 const (
 	// minHosts is the number of hosts among which limits are divided if fewer are known.
 	minHosts = 8
-	// connectionShare is the fraction of a replica's connection limit that all hosts
-	// together may use.
-	connectionShare = 0.9
-	// balancerDelay is the time until the load balancer notices that a host is not
-	// ready: two readiness checks at an interval of 1 s, and a reserve.
-	balancerDelay = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is reserved for the process exit.
-	exitReserve = 500 * time.Millisecond
-	// answerReserve is the part of the grace period, before exitReserve, in which
-	// requests that are still running get their final answer.
-	answerReserve = 300 * time.Millisecond
 	// responseMemoryDivisor is the fraction of the host's memory that the responses of
 	// replicas may take: a response that grows occupies up to three times what it is
 	// charged. defaultMemoryMB is assumed if the settings name no memory.
@@ -295,43 +284,3 @@
 	h.ready.Store(true)
 	h.log.Info().Dur("after_ms", h.now()).Msg("ready")
 }
-
-// targets returns how this host connects to the replicas of a view. A host that does
-// not keep connections to a service may open one on demand.
-func (h *Host) targets(v *routing.View) []forward.Target {
-	targets := make([]forward.Target, 0, len(v.Replicas))
-	connectingHosts := h.gateway.ConnectingHosts(v)
-	for key, r := range v.Replicas {
-		connecting := connectingHosts[r.Service]
-		maxConnections := 1
-		if connecting.IncludesSelf {
-			maxConnections = connectionsPerHost(v.Config.Services[r.Service].MaxConnections, connecting.Count)
-		}
-		targets = append(targets, forward.Target{Key: key, Address: r.Address, KeepIdle: connecting.IncludesSelf, MaxConnections: maxConnections})
-	}
-	return targets
-}
-
-// connectionsPerHost returns one host's share of the connections to a replica. Each
-// host may have at least one, even if the hosts then exceed the limit together.
-func connectionsPerHost(limit, hosts int) int {
-	return max(int(float64(limit)*connectionShare/float64(hosts)), 1)
-}
-
-// drain shuts the host down gracefully. It reports the host as not ready, continues to
-// serve until the load balancer has noticed, closes the listener and waits for the
-// requests in progress.
-func (h *Host) drain(server *http.Server) error {
-	deadline := time.Now().Add(h.settings.Load().Grace() - exitReserve)
-	h.stopping.Store(true)
-	h.log.Info().Int("running", h.gateway.Running()).Msg("stopping")
-	h.gateway.StopAt(h.now() + time.Until(deadline) - answerReserve)
-	time.Sleep(min(balancerDelay, time.Until(deadline)/2))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	stopTimer := time.AfterFunc(time.Until(deadline.Add(-answerReserve)), h.gateway.Stop)
-	defer stopTimer.Stop()
-	err := server.Shutdown(ctx)
-	h.log.Info().Int("running", h.gateway.Running()).AnErr("error", err).Msg("stopped")
-	return nil
-}
