Ask for news until an informed host has answered

After many hosts were killed at one moment, a host that starts may ask one that has just started, too, and be told nothing. It now asks on, each 0.3 s, until a host answers that has been told itself or has run for ten seconds.

Before: with one request a second, some of 15 hosts that started together were not informed after 3 s (TestHostsThatStartTogetherAreInformed); with the first answer alone counting, those that asked a new host never were.

--- a/internal/discovery/convergence_test.go
+++ b/internal/discovery/convergence_test.go
@@ -173,18 +173,48 @@
 }
 
 // Guards against a restarted host that is never told what the fleet has learned, since it
-// has read the store before it heard of a peer.
-func TestHostThatStartsAsksForNewsOnce(t *testing.T) {
+// has read the store before it heard of a peer, or asked one that has just started, too.
+func TestHostThatStartsAsksForNews(t *testing.T) {
 	g := NewWithT(t)
 	m := discovery.NewMachine(discovery.Member{Address: "10.0.0.1:1", DataCentre: "z", Start: 1}, nil, 0, rand.New(rand.NewPCG(1, 1)))
 	m.HandleReadResult(0, listingResult(10, "a"))
 	heartbeat := discovery.Heartbeat{Format: discovery.FormatVersion, From: "10.0.0.2:1", DataCentre: "z", Version: 1, Revision: 10}
-	asked := m.HandleHeartbeat(0, heartbeat)
-	g.Expect(asked.FetchFrom).To(Equal("10.0.0.2:1"))
-	g.Expect(asked.FetchRequest.News).To(BeTrue())
-	m.HandleState(0, "10.0.0.2:1", nil, errRefused)
-	asked = m.HandleHeartbeat(time.Second, heartbeat)
-	g.Expect(asked.FetchRequest.News).To(BeTrue(), "asked again after a failure")
-	m.HandleState(time.Second, "10.0.0.2:1", &discovery.State{Format: discovery.FormatVersion, Revision: 10, Since: 10}, nil)
-	g.Expect(m.HandleHeartbeat(2*time.Second, heartbeat).FetchRequest.News).To(BeFalse())
+	state := &discovery.State{Format: discovery.FormatVersion, Revision: 10, Since: 10}
+	g.Expect(m.StateFor(0, discovery.StateRequest{News: true}).Informed).To(BeFalse())
+	for second := range 3 {
+		now := time.Duration(second) * time.Second
+		asked := m.HandleHeartbeat(now, heartbeat)
+		g.Expect(asked.FetchFrom).To(Equal("10.0.0.2:1"))
+		g.Expect(asked.FetchRequest.News).To(BeTrue())
+		switch second {
+		case 0:
+			m.HandleState(now, "10.0.0.2:1", nil, errRefused)
+		case 1: // a host that has just started
+			m.HandleState(now, "10.0.0.2:1", state, nil)
+		case 2:
+			state.Informed = true
+			m.HandleState(now, "10.0.0.2:1", state, nil)
+		}
+		g.Expect(m.HandleHeartbeat(now, heartbeat).FetchRequest.News).To(BeFalse(), "not twice at once")
+	}
+	g.Expect(m.HandleHeartbeat(5*time.Second, heartbeat).FetchRequest.News).To(BeFalse())
+	g.Expect(m.StateFor(5*time.Second, discovery.StateRequest{News: true}).Informed).To(BeTrue())
+}
+
+// After many hosts were killed at one moment, each that starts is told the news by one that
+// was not, though most of the hosts that it hears of have just started.
+func TestHostsThatStartTogetherAreInformed(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(10) {
+		s := newSettledSimulation(20, seed)
+		s.advance(5 * time.Second)
+		for _, h := range s.hosts[:15] {
+			s.startHost(h)
+		}
+		s.advance(3 * time.Second)
+		for _, h := range s.hosts {
+			state := h.machine.StateFor(s.now, discovery.StateRequest{Format: discovery.FormatVersion, News: true})
+			g.Expect(state.Informed).To(BeTrue(), "%s, seed %d", h.address, seed)
+		}
+	}
 }
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -56,6 +56,11 @@
 	// auditInterval is the time between two full listings that the reader reads while it
 	// follows the changes, so that no difference to the store lasts longer.
 	auditInterval = 30 * time.Second
+	// informedAfter is the time after its start from which a host counts as informed,
+	// since it has heard many heartbeats. newsInterval is the least time between two
+	// requests for news.
+	informedAfter = 10 * time.Second
+	newsInterval  = 300 * time.Millisecond
 )
 
 // Machine decides when a host reads the store or fetches from a peer, and which
@@ -79,8 +84,11 @@
 	// earliest time of the next such fetch.
 	wantsListing bool
 	nextListing  time.Duration
-	// hasNews is set once a peer has told its news to this host.
-	hasNews bool
+	// startedAt is when this host started, hasNews is set once an informed peer has told
+	// its news to it, and nextNews is the earliest time at which a peer is asked for them.
+	startedAt time.Duration
+	hasNews   bool
+	nextNews  time.Duration
 	// nextAudit is when this host, if it is the reader, next reads a full listing.
 	nextAudit    time.Duration
 	readInFlight bool
@@ -118,6 +126,7 @@
 	isSeed := slices.Contains(seeds, self.Address)
 	m := &Machine{
 		self:      self,
+		startedAt: now,
 		rng:       rng,
 		members:   newMembers(self),
 		catalog:   catalog.New(),
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -87,8 +87,10 @@
 	// Members are all hosts that the answering host knows. It is set if Revision of
 	// the request is zero, for a new host.
 	Members []Member `msgpack:"m,omitempty"`
-	// News is set if the request asks for it.
-	News *News `msgpack:"w,omitempty"`
+	// News is set if the request asks for it. Informed means that the answering host has
+	// not itself started just now, so that there is no need to ask another one.
+	News     *News `msgpack:"w,omitempty"`
+	Informed bool  `msgpack:"o,omitempty"`
 }
 
 // News is what a host has learned of requests and replicas, and the store doesn't have.
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -12,7 +12,7 @@
 	newer := h.Revision > m.catalog.Revision() || !m.catalog.Loaded() && h.Revision > 0
 	sameReplicas := m.catalog.Loaded() && h.Digest == m.catalog.Digest()
 	switch {
-	case h.Version > m.configVersion(), newer && !sameReplicas, !m.hasNews:
+	case h.Version > m.configVersion(), newer && !sameReplicas, m.wantsNews(now):
 		m.requestState(now, h.From)
 	case sameReplicas && h.Revision >= m.catalog.Revision() && h.Version == m.configVersion():
 		m.catalog.Confirm(h.Revision, now-h.Age)
@@ -56,13 +56,27 @@
 	}
 	m.fetchInFlight = true
 	m.pendingActions.FetchFrom = from
-	request := StateRequest{Format: FormatVersion, Version: m.configVersion(), News: !m.hasNews}
+	request := StateRequest{Format: FormatVersion, Version: m.configVersion(), News: m.wantsNews(now)}
+	if request.News {
+		m.nextNews = now + newsInterval
+	}
 	if !m.wantsListing {
 		request.Revision = m.catalog.ResumeRevision()
 	}
 	m.pendingActions.FetchRequest = request
 }
 
+// informed reports whether this host knows what the fleet has learned: an informed peer has
+// told it, or it has run for a while.
+func (m *Machine) informed(now time.Duration) bool {
+	return m.hasNews || now-m.startedAt >= informedAfter
+}
+
+// wantsNews reports whether a peer is to be asked for its news.
+func (m *Machine) wantsNews(now time.Duration) bool {
+	return !m.informed(now) && now >= m.nextNews
+}
+
 // HandleState handles a peer's state, or the failure to fetch it.
 func (m *Machine) HandleState(now time.Duration, from string, s *State, err error) Actions {
 	m.fetchInFlight = false
@@ -74,7 +88,7 @@
 	for _, member := range s.Members {
 		m.members.recordHeartbeat(member, now-member.Age)
 	}
-	m.hasNews = true
+	m.hasNews = m.hasNews || s.Informed
 	changed := m.adoptConfig(s.Config, from)
 	changed = m.adoptReplicas(now, s) || changed
 	if changed {
@@ -131,6 +145,7 @@
 	if r.Revision == 0 {
 		s.Members = m.members.listMembers(now)
 	}
+	s.Informed = r.News && m.informed(now)
 	return s
 }
 
--- a/internal/peerlink/state_test.go
+++ b/internal/peerlink/state_test.go
@@ -37,7 +37,7 @@
 			state := &discovery.State{
 				Format: discovery.FormatVersion, Revision: 7, Digest: 11, Age: time.Second, Config: config, Since: 3,
 				Entries: []catalog.Entry{{ID: "r", Revision: 5, ColdRemaining: time.Second}}, Members: []discovery.Member{{Address: "a", Start: 1, Age: time.Minute}},
-				News: &discovery.News{LeavingReplicas: []string{"r@1"}},
+				News: &discovery.News{LeavingReplicas: []string{"r@1"}}, Informed: true,
 			}
 			var shared *peerlink.SharedConfig
 			if config != nil {
