Let a reader that differs from a peer read the store's listing

Read in the diff: a host that reads the store itself and fetches a peer's state could take over the listing of that peer at an equal revision, though its own comes from the store. It now reads the store's listing. TestReaderThatDiffersReadsAListing is new with it, and fails without (it asks the peer).

Records of removed replicas are counted before they are listed, at each tick.

--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -80,23 +80,33 @@
 // pruneRemoved drops the records of replicas that were removed before removedRetention,
 // and the oldest ones over maxRemoved.
 func (c *Catalog) pruneRemoved(now time.Duration) {
-	var removed []string
+	count := 0
 	for id, r := range c.records {
 		switch {
 		case r.replica != nil:
 		case now-r.removedAt > removedRetention:
 			c.dropRecord(id)
 		default:
-			removed = append(removed, id)
+			count++
 		}
 	}
-	if len(removed) <= maxRemoved {
-		return
+	if count > maxRemoved {
+		c.dropOldest(count - maxRemoved)
+	}
+}
+
+// dropOldest drops the n oldest records of removed replicas.
+func (c *Catalog) dropOldest(n int) {
+	var removed []string
+	for id, r := range c.records {
+		if r.replica == nil {
+			removed = append(removed, id)
+		}
 	}
 	slices.SortFunc(removed, func(a, b string) int {
 		return cmp.Or(cmp.Compare(c.records[a].revision, c.records[b].revision), cmp.Compare(a, b))
 	})
-	for _, id := range removed[:len(removed)-maxRemoved] {
+	for _, id := range removed[:n] {
 		c.dropRecord(id)
 	}
 }
--- a/internal/discovery/convergence_test.go
+++ b/internal/discovery/convergence_test.go
@@ -140,6 +140,19 @@
 	g.Expect(view.Replicas).To(HaveLen(2))
 }
 
+// A host that reads the store and differs from a peer asks the store, not the peer.
+func TestReaderThatDiffersReadsAListing(t *testing.T) {
+	g := NewWithT(t)
+	m := discovery.NewMachine(discovery.Member{Address: "10.0.0.1:1", DataCentre: "z", Start: 1}, nil, 0, rand.New(rand.NewPCG(1, 1)))
+	m.Tick(0)
+	m.HandleReadResult(0, listingResult(10, "a", "b"))
+	wrong := &discovery.State{Format: discovery.FormatVersion, Revision: 10, Since: 10, Digest: 1, Informed: true}
+	g.Expect(m.HandleState(100*time.Millisecond, "10.0.0.2:1", wrong, nil).FetchFrom).To(BeEmpty())
+	read := m.Tick(time.Second).Read
+	g.Expect(read).NotTo(BeNil())
+	g.Expect(read.Audit).To(BeTrue())
+}
+
 // Guards against a removal that never reaches the fleet: the reader reads a full listing
 // from time to time.
 func TestMissedRemovalIsFoundByTheReader(t *testing.T) {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -121,12 +121,16 @@
 }
 
 // verifyReplicas compares the replicas with those of the peer whose state was just
-// adopted. If they differ at the same revision, the peer's listing is requested.
+// adopted. If they differ at the same revision, the peer's listing is requested; a host that
+// reads the store reads its listing instead.
 func (m *Machine) verifyReplicas(now time.Duration, from string, s *State) {
 	switch {
 	case s.Digest == 0 || s.Revision != m.catalog.Revision():
 	case s.Digest == m.catalog.Digest():
 		m.differsSince = 0
+	case m.isReader:
+		m.nextAudit = min(m.nextAudit, max(m.nextListing, now))
+		m.nextListing = now + listingPause
 	default:
 		m.requestListing(now, from)
 	}
