--- a/internal/forward/sentids.go
+++ b/internal/forward/sentids.go
@@ -8,11 +8,10 @@
 )
 
 const (
-	// sentIDRetention is the least time for which a connection remembers the ID of a
-	// request that was written to it.
+	// sentIDRetention is how long a connection remembers the ID of a request at least, and
+	// maxSentIDs the number of further requests after which it may forget it sooner.
 	sentIDRetention = 10 * time.Second
-	// maxSentIDs bounds the IDs that are remembered in each of two consecutive periods.
-	maxSentIDs = 1024
+	maxSentIDs      = 1024
 )
 
 // sentIDs remembers the IDs of the requests that were written to a connection lately.
