Pause before the next retry once each allowed replica was tried

Cause: a retry goes at once if there is an untried replica, and that looked at all replicas of the shard, also at those that the request may not go to, since max_attempts is used up. Since a failed connection no longer frees a place, so that the untried replica stays out of reach: connections that are refused at once were retried without a pause.

Change: only replicas count that the next attempt may go to.

Before: TestRetriesPauseOnceEachAllowedReplicaWasTried failed. After: passes.

--- a/internal/query/forward_test.go
+++ b/internal/query/forward_test.go
@@ -254,3 +254,22 @@
 		}
 	})
 }
+
+// Guards against retries without end or pause: once each replica that the request may go to
+// was tried, the next attempt waits, also if there are replicas that it may not go to.
+func TestRetriesPauseOnceEachAllowedReplicaWasTried(t *testing.T) {
+	g := NewWithT(t)
+	const maxReplicas, maxAttempts = 2, 10
+	q := newForwardQuery(1, query.Forward{Message: &dispatch.Message{}, MaxReplicas: maxReplicas, UnlimitedRetries: true}, firstReplica{})
+	sent := q.Start(0).Dispatch
+	attempts := 0
+	for ; len(sent) > 0 && attempts < maxAttempts; attempts++ {
+		reply := sent[0].RefusedReply(result.ConnectFailed)
+		if attempts < maxReplicas {
+			reply = sent[0].UnknownReply(result.OutcomeUnknown)
+		}
+		sent = q.Reply(0, reply).Dispatch
+	}
+	g.Expect(attempts).To(BeNumerically("<", maxAttempts))
+	g.Expect(q.NextTick()).To(BeNumerically(">", 0))
+}
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -101,10 +101,10 @@
 	q.sendDueRetry(now, i)
 }
 
-// hasUntriedReplica reports whether the shard has an eligible replica that has not
-// ended an attempt without a good reply.
+// hasUntriedReplica reports whether there is an eligible replica that the shard's next
+// attempt may go to and that has not ended an attempt without a good reply.
 func (q *Query) hasUntriedReplica(now time.Duration, s *shard) bool {
-	return slices.ContainsFunc(s.replicas, func(id string) bool {
+	return slices.ContainsFunc(q.allowedReplicas(s), func(id string) bool {
 		return !slices.Contains(s.tried, id) && !slices.Contains(s.withoutData, id) && q.params.Replicas.Eligible(now, id)
 	})
 }
