Keep hosts that have left out of the peers

Callers would see: queries whose parts go to a host that stops, or has ended, for up to eight seconds; each such part costs a refused connection, or is cut when the process ends.

Found by looking for one of the operators' reports (a server that had left is used again) among the hosts themselves.

Cause: a host that hears the announcement removes the host that leaves, and adds it again as soon as one that has not heard it yet names it among its members, as heard of just now. The announcement was sent once, so that a lost datagram had the same effect. A late one of an earlier incarnation removed the host that had been started since.

Ruled out: members that never expire because each hop makes them younger by the time of a message (trial with up to 250 ms: forgotten after 7.5 to 15.5 s).

Change: hosts remember for a minute which incarnation of a host has left, and add no report of it. A host that leaves tells all others in four rounds.

--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -45,6 +45,9 @@
 	// heartbeatFanout random hosts and to one seed.
 	heartbeatInterval = 500 * time.Millisecond
 	heartbeatFanout   = 2
+	// leavingRounds is the number of rounds of heartbeats by which a host that leaves
+	// tells all others, so that those that miss one hear of it.
+	leavingRounds = 4
 	// fetchRetryDelay is the least time between a failed fetch from a peer and the
 	// next fetch.
 	fetchRetryDelay = 200 * time.Millisecond
@@ -109,6 +112,8 @@
 	nextFetch     time.Duration
 	nextHeartbeat time.Duration
 	leaving       bool
+	// leavingRounds is the number of further rounds of heartbeats that go to all hosts.
+	leavingRounds int
 	// heardOutsideAt is when a heartbeat of a host of another data centre came last;
 	// zero if none has.
 	heardOutsideAt time.Duration
@@ -171,7 +176,9 @@
 // Leave announces that the host is stopping.
 func (m *Machine) Leave(now time.Duration) Actions {
 	m.leaving = true
-	m.queueHeartbeatsWithMembers(now, m.members.addresses())
+	m.leavingRounds = leavingRounds
+	m.nextHeartbeat = now
+	m.queueHeartbeatsIfDue(now)
 	return m.takeActions()
 }
 
@@ -186,7 +193,7 @@
 	}
 	isNew := m.members.hosts[h.From] == nil
 	if h.Leaving {
-		m.members.remove(h.From)
+		m.members.recordLeaving(h.From, h.Start, now)
 	} else {
 		m.members.recordHeartbeat(Member{Address: h.From, Start: h.Start, DataCentre: h.DataCentre, CPUPercent: h.CPUPercent}, now)
 	}
--- a/internal/discovery/members.go
+++ b/internal/discovery/members.go
@@ -24,6 +24,9 @@
 	// fleetSizeRetention is how long the fleet size stays at an earlier, larger
 	// value, since hosts whose heartbeats are lost still send requests to replicas.
 	fleetSizeRetention = 60 * time.Second
+	// leftRetention is how long a host that has left is remembered, so that others which
+	// do not know yet can't bring it back.
+	leftRetention = 60 * time.Second
 	// sampleSize is the largest number of members in a heartbeat. The members with
 	// the latest heartbeats are preferred; the order is random among those whose
 	// ages round down to the same multiple of ageGranularity.
@@ -33,17 +36,28 @@
 
 // members are the other known hosts. This information is advisory: no guarantee
 // to a caller depends on it.
+//
+// Invariant: an incarnation of a host that has announced that it leaves is not added
+// again, whoever tells of it.
 type members struct {
 	self string
 	// selfCPUPercent is this host's CPU capacity, as in Member.CPUPercent.
 	selfCPUPercent int
 	hosts          map[string]*member
+	// left holds the incarnations of hosts that left lately, by address.
+	left map[string]departure
 	// fleetSize is the largest recent number of hosts, including this one.
 	// fleetSizeAt is when it was last set.
 	fleetSize   int
 	fleetSizeAt time.Duration
 }
 
+// departure is an incarnation that has announced that it leaves, and when.
+type departure struct {
+	start uint64
+	at    time.Duration
+}
+
 // member is a known host with the time of its latest known heartbeat.
 type member struct {
 	Member
@@ -51,24 +65,34 @@
 }
 
 func newMembers(self Member) *members {
-	return &members{self: self.Address, selfCPUPercent: self.CPUPercent, hosts: make(map[string]*member), fleetSize: 1}
+	return &members{self: self.Address, selfCPUPercent: self.CPUPercent, hosts: make(map[string]*member), left: make(map[string]departure), fleetSize: 1}
 }
 
 // recordHeartbeat records that a host sent a heartbeat at a time. It ignores a
 // heartbeat that isn't later than the latest known one, so that a delayed heartbeat
-// of an earlier incarnation changes nothing.
+// of an earlier incarnation changes nothing, and one of an incarnation that has left.
 func (m *members) recordHeartbeat(reported Member, at time.Duration) {
 	if reported.Address == m.self || reported.Address == "" {
 		return
 	}
+	if left, ok := m.left[reported.Address]; ok && left.start == reported.Start {
+		return
+	}
 	if known := m.hosts[reported.Address]; known == nil || at > known.heartbeatAt {
 		m.hosts[reported.Address] = &member{Member: reported, heartbeatAt: at}
 	}
 }
 
-func (m *members) remove(address string) { delete(m.hosts, address) }
+// recordLeaving records that an incarnation of a host has announced that it leaves.
+func (m *members) recordLeaving(address string, start uint64, now time.Duration) {
+	m.left[address] = departure{start: start, at: now}
+	if known := m.hosts[address]; known != nil && known.Start == start {
+		delete(m.hosts, address)
+	}
+}
 
-// expire forgets hosts whose TTL is over and updates the fleet size.
+// expire forgets hosts whose TTL is over, and those that left long ago, and updates the
+// fleet size.
 func (m *members) expire(now time.Duration) {
 	ttl := m.ttl()
 	for address, h := range m.hosts {
@@ -76,6 +100,11 @@
 			delete(m.hosts, address)
 		}
 	}
+	for address, d := range m.left {
+		if now-d.at > leftRetention {
+			delete(m.left, address)
+		}
+	}
 	if n := len(m.hosts) + 1; n >= m.fleetSize || now-m.fleetSizeAt > fleetSizeRetention {
 		m.fleetSize, m.fleetSizeAt = n, now
 	}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -159,6 +159,17 @@
 		return
 	}
 	m.nextHeartbeat = now + heartbeatInterval
+	m.queueHeartbeatsWithMembers(now, m.nextRound())
+	m.askSilentHosts(now)
+}
+
+// nextRound returns the addresses to which the next round of heartbeats goes: all hosts in
+// the first rounds of one that leaves, else some random ones and a seed.
+func (m *Machine) nextRound() []string {
+	if m.leavingRounds > 0 {
+		m.leavingRounds--
+		return m.members.addresses()
+	}
 	to := m.members.randomAddresses(heartbeatFanout, m.rng)
 	if len(m.seeds) > 0 {
 		if seed := m.seeds[m.rng.IntN(len(m.seeds))]; !slices.Contains(to, seed) {
@@ -168,8 +179,7 @@
 	if len(m.members.hosts) == 0 {
 		to = m.seeds
 	}
-	m.queueHeartbeatsWithMembers(now, to)
-	m.askSilentHosts(now)
+	return to
 }
 
 // askSilentHosts queues heartbeats that ask long-silent hosts for a reply. They
--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	step    = 10 * time.Millisecond
-	latency = 10 * time.Millisecond
+	step = 10 * time.Millisecond
+	// defaultLatency is the latency of messages and of the store.
+	defaultLatency = 10 * time.Millisecond
 	// bound is the time within which a change must be in force on all hosts in these
 	// tests: half of the time that the requirements allow.
 	bound = 1500 * time.Millisecond
@@ -42,6 +43,8 @@
 	partitioned func(a, b *host) bool
 	// heartbeatLoss is the share of heartbeats that are lost.
 	heartbeatLoss float64
+	// latency is the time that a message between hosts takes.
+	latency time.Duration
 	// storeCalls counts the reads of the store.
 	storeCalls    int
 	pendingEvents []event
@@ -73,6 +76,7 @@
 func newSimulation(n int, seed uint64) *simulation {
 	s := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), revision: 1, version: 1, configRevisions: map[uint64]bool{1: true},
+		latency:   defaultLatency,
 		storeDown: func(*host) bool { return false }, partitioned: func(_, _ *host) bool { return false },
 	}
 	for i := range n {
@@ -127,7 +131,7 @@
 		h.peers = actions.Peers
 	}
 	for _, outgoing := range actions.Heartbeats {
-		s.schedule(latency, func() { s.deliverHeartbeat(h, outgoing) })
+		s.schedule(s.latency, func() { s.deliverHeartbeat(h, outgoing) })
 	}
 	if actions.Read != nil {
 		s.readStore(h, *actions.Read)
@@ -159,7 +163,7 @@
 // fetchState requests a peer's state, which arrives after a round trip.
 func (s *simulation) fetchState(h *host, address string, r discovery.StateRequest) {
 	machine := h.machine
-	s.schedule(2*latency, func() {
+	s.schedule(2*s.latency, func() {
 		if h.dead || h.machine != machine {
 			return
 		}
@@ -189,7 +193,7 @@
 		}
 		s.execute(h, machine.HandleReadResult(s.now, s.storeAnswer(h, r, started)))
 	}
-	s.schedule(latency, poll)
+	s.schedule(defaultLatency, poll)
 }
 
 // storeAnswer returns the store's current answer to a read.
