Let a planned stop wait for the parts of other hosts' queries

Callers of other hosts would see: queries with missing shards, or 504, during a planned stop of a host that serves parts of them, though nothing else is disturbed.

Cause: a host that stops waited for its own callers only. The process ended with the parts that it served for other hosts, and a part that is cut counts as lost: its shards may have run.

--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -94,6 +94,7 @@
 	events    chan func(now time.Duration) discovery.Actions
 	socket    *net.UDPConn
 	listener  net.Listener
+	server    *peerlink.Server
 	view      *routing.View
 	hostCount int
 	// sharedConfig is the configuration that was sent to other hosts last.
@@ -102,14 +103,20 @@
 
 // New returns an agent. Listen opens its sockets, and Run starts it.
 func New(opts Options, machine *discovery.Machine) *Agent {
-	return &Agent{opts: opts, machine: machine, events: make(chan func(time.Duration) discovery.Actions), hostCount: 1}
+	a := &Agent{opts: opts, machine: machine, events: make(chan func(time.Duration) discovery.Actions), hostCount: 1}
+	a.server = peerlink.NewServer(a)
+	return a
 }
 
+// PartsInProgress returns the number of parts of other hosts' queries that are not yet
+// answered.
+func (a *Agent) PartsInProgress() int { return a.server.PartsInProgress() }
+
 // Run serves peers and drives the machine until ctx ends. Listen must have been called.
 func (a *Agent) Run(ctx context.Context) {
 	context.AfterFunc(ctx, func() { _ = a.socket.Close() })
 	go a.receiveHeartbeats(ctx)
-	go peerlink.Serve(ctx, a.listener, a)
+	go a.server.Serve(ctx, a.listener)
 	ticker := time.NewTicker(discovery.TickInterval)
 	defer ticker.Stop()
 	a.execute(ctx, a.machine.Tick(a.opts.Now()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,7 +184,8 @@
 // View returns the current view, or nil if there is none yet.
 func (g *Gateway) View() *routing.View { return g.view.Load() }
 
-// Running returns the number of requests in progress.
+// Running returns the number of requests in progress, parts of other hosts' queries
+// included.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
 // Serve answers a request. It returns early if ctx is cancelled because the
--- a/internal/peerlink/cancel_test.go
+++ b/internal/peerlink/cancel_test.go
@@ -46,7 +46,7 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	go peerlink.Serve(ctx, l, h)
+	go peerlink.NewServer(h).Serve(ctx, l)
 	return l.Addr().String()
 }
 
@@ -84,7 +84,7 @@
 	g.Expect(err).To(HaveOccurred())
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go peerlink.Serve(serveCtx, l, h)
+	go peerlink.NewServer(h).Serve(serveCtx, l)
 	served := newBlockingHandler()
 	go func() {
 		// A connection that is accepted after the first one shows that the first one
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -32,7 +32,7 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go peerlink.Serve(ctx, l, h)
+	go peerlink.NewServer(h).Serve(ctx, l)
 	return l.Addr().String(), cancel
 }
 
@@ -89,7 +89,7 @@
 	}).Should(Succeed())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go peerlink.Serve(ctx, l, handler{})
+	go peerlink.NewServer(handler{}).Serve(ctx, l)
 	g.Eventually(func() error {
 		_, err := c.Call(context.Background(), address, partRequest(1))
 		return err
@@ -116,3 +116,37 @@
 	_, err = c.Call(context.Background(), address, partRequest())
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// gatedHandler serves a part once its gate is open.
+type gatedHandler struct {
+	handler
+	gate chan struct{}
+}
+
+func (h gatedHandler) ServePart(context.Context, *split.Request) *split.Reply {
+	<-h.gate
+	return &split.Reply{}
+}
+
+// Guards against a host that ends before the last reply to a part has been written: the
+// part is in progress until then.
+func TestPartIsInProgressUntilItsReplyIsWritten(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := gatedHandler{gate: make(chan struct{})}
+	server := peerlink.NewServer(h)
+	go server.Serve(ctx, l)
+	g.Expect(server.PartsInProgress()).To(BeZero())
+	replies := make(chan error, 1)
+	go func() {
+		_, err := peerlink.NewClient(dial.TCP).Call(ctx, l.Addr().String(), partRequest(1))
+		replies <- err
+	}()
+	g.Eventually(server.PartsInProgress, 10*time.Second).Should(Equal(1))
+	close(h.gate)
+	g.Eventually(server.PartsInProgress, 10*time.Second).Should(BeZero())
+	g.Eventually(replies, 10*time.Second).Should(Receive(BeNil()))
+}
--- a/internal/peerlink/server.go
+++ b/internal/peerlink/server.go
@@ -27,8 +27,22 @@
 	ServePart(ctx context.Context, r *split.Request) *split.Reply
 }
 
+// Server answers the requests of other hosts. It is safe for concurrent use.
+type Server struct {
+	handler Handler
+	// parts is the number of parts in progress.
+	parts atomic.Int64
+}
+
+// NewServer returns a server whose requests h answers.
+func NewServer(h Handler) *Server { return &Server{handler: h} }
+
+// PartsInProgress returns the number of parts whose request has been read, and whose last
+// reply has not been written yet.
+func (s *Server) PartsInProgress() int { return int(s.parts.Load()) }
+
 // Serve accepts connections and answers their requests until ctx is done.
-func Serve(ctx context.Context, l net.Listener, h Handler) {
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	for {
 		conn, err := l.Accept()
@@ -36,7 +50,7 @@
 			return
 		}
 		if err == nil {
-			go serveConnection(ctx, conn, h)
+			go s.serveConnection(ctx, conn)
 		}
 	}
 }
@@ -50,7 +64,7 @@
 	interruptedFlag atomic.Bool
 }
 
-func serveConnection(ctx context.Context, netConn net.Conn, h Handler) {
+func (s *Server) serveConnection(ctx context.Context, netConn net.Conn) {
 	defer netConn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = netConn.Close() })
 	defer stop()
@@ -64,17 +78,26 @@
 		if request.Stop {
 			continue // The part has ended meanwhile.
 		}
-		reply := conn.handleRequest(ctx, &request, h)
-		if reply == nil {
-			return
-		}
-		_ = conn.SetDeadline(time.Now().Add(replyTimeout))
-		if writeFrame(conn, reply) != nil {
+		if !s.answer(ctx, conn, &request) {
 			return
 		}
 	}
 }
 
+// answer answers a request. It reports whether the connection can carry another one.
+func (s *Server) answer(ctx context.Context, conn *serverConn, r *Request) bool {
+	if r.Part != nil {
+		s.parts.Add(1)
+		defer s.parts.Add(-1)
+	}
+	reply := conn.handleRequest(ctx, r, s.handler)
+	if reply == nil {
+		return false
+	}
+	_ = conn.SetDeadline(time.Now().Add(replyTimeout))
+	return writeFrame(conn, reply) == nil
+}
+
 // handleRequest returns the last reply to a request, or nil if the client has closed the
 // connection.
 func (c *serverConn) handleRequest(ctx context.Context, r *Request, h Handler) *Reply {
