--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -247,6 +247,19 @@
 	}),
 )
 
+// Guards against an answer that hides why no endpoint ran the request: operators have
+// nothing else to tell a full endpoint from one that can't be reached.
+var _ = It("names the refusals of a submit that no endpoint ran", func() {
+	h := newHarness()
+	ticket := h.submit(h.issuePermit())
+	first := h.lastAttempt().Endpoint
+	h.reply(h.lastAttempt().RefusedReply(result.EndpointShed))
+	second := h.lastAttempt().Endpoint
+	h.reply(h.lastAttempt().RefusedReply(result.ConnectFailed))
+	Expect(h.submits[ticket].Code).To(Equal(result.AllRefused))
+	Expect(h.submits[ticket].Reason).To(ContainSubstring(first + ": endpoint-shed, " + second + ": connect-failed"))
+})
+
 // testPeer is a relay on another host.
 const testPeer = "10.0.0.2:7000"
 
--- a/internal/coordinator/submit_attempts.go
+++ b/internal/coordinator/submit_attempts.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -112,6 +113,7 @@
 		m.burnPermit(now, s, result.Quarantined)
 		return
 	}
+	s.refusals = append(s.refusals, fmt.Sprintf("%s: %s", r.Endpoint, r.Code))
 	if !query.RelayFault(r.Code) {
 		s.refusedBy = append(s.refusedBy, r.Endpoint)
 	}
@@ -121,6 +123,7 @@
 	}
 	if !s.budgets.TakeRetry(0) {
 		m.actions.Events = append(m.actions.Events, query.Event{Kind: query.EventRetryDenied, Code: r.Code})
+		s.refusals = append(s.refusals, "no retry left in the budget")
 		m.burnPermit(now, s, result.AllRefused)
 		return
 	}
--- a/internal/coordinator/submits.go
+++ b/internal/coordinator/submits.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strings"
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/api"
@@ -28,6 +29,9 @@
 	// refusedBy are the endpoints that refused an attempt. Further attempts
 	// exclude them.
 	refusedBy []string
+	// refusals describes the refusals so far, for the reason of a submission that no
+	// endpoint ran.
+	refusals  []string
 	retries   int
 	suspicion view.Suspicion
 }
@@ -86,6 +90,8 @@
 	replayed bool
 	// bodyDropped reports that the body was too large to keep.
 	bodyDropped bool
+	// refusals describes the refusals that led to a code of the class "not run".
+	refusals []string
 }
 
 // outcomeFromDecision returns the outcome for a submit that the ledger replays
@@ -157,7 +163,7 @@
 	if !m.ledger.Burn(now, s.id, code) {
 		code = result.OutcomeUnknown
 	}
-	m.finishSubmission(s, outcome{code: code})
+	m.finishSubmission(s, outcome{code: code, refusals: s.refusals})
 }
 
 // finishSubmission answers all waiters and releases the admission of the
@@ -230,6 +236,8 @@
 		return "the outcome was too large to keep"
 	case o.code.Class() == result.ClassComplete:
 		return ""
+	case len(o.refusals) > 0:
+		return o.code.Error().Reason + " " + strings.Join(o.refusals, ", ")
 	default:
 		return o.code.Error().Reason
 	}
