Mend the spec of the refusals that a reason names

What the spec checks is the same. It fails with the change of the reason taken out, and passes with it.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -251,6 +251,7 @@
 // nothing else to tell a full endpoint from one that can't be reached.
 var _ = It("names the refusals of a submit that no endpoint ran", func() {
 	h := newHarness()
+	h.setView(nil)
 	ticket := h.submit(h.issuePermit())
 	first := h.lastAttempt().Endpoint
 	h.reply(h.lastAttempt().RefusedReply(result.EndpointShed))
