Take the target of a route for its usual time until a request has succeeded

Listed as open with the orders late in the grace period: a host that has served no request of a route knew no usual time, and took orders until the end; they ran and were answered 504.

Change: until one succeeds, the route is taken to need its target latency.

Before: TestOrdersOnUnusedRouteAreRefusedLateInTheGracePeriod failed (an order with 0.9 s left on a route with a target of 1 s: unknown outcome). After: it is refused as not run, and one with 1.1 s left is served.

--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -44,14 +44,14 @@
 	return a
 }
 
-// usualDuration returns the time that an attempt of a route usually takes, or zero if none
-// has succeeded yet.
+// usualDuration returns the time that an attempt of a route usually takes, or the target
+// of the route if none has succeeded yet.
 func (s *sharedState) usualDuration(route *routing.Route) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recent := s.recentDurations[route.Name]
 	if recent == nil {
-		return 0
+		return route.Target
 	}
 	return recent.Quantile(usualQuantile)
 }
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -97,3 +97,35 @@
 		})
 	}
 }
+
+// Guards against orders that are taken late in the grace period on a route which has had no
+// successful request on this host, and end with an outcome that their callers don't know:
+// until one succeeds, the route is taken to need its target latency.
+func TestOrdersOnUnusedRouteAreRefusedLateInTheGracePeriod(t *testing.T) {
+	const target = time.Second
+	for left, served := range map[time.Duration]bool{target + 100*time.Millisecond: true, target - 100*time.Millisecond: false} {
+		t.Run(fmt.Sprint(left, " left"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				d := deployment{hosts: 1, dataCentres: 1, shards: 1, replicasPerShard: 3, attempts: 2, ratio: 0.2, slack: 100, target: target}
+				run := &stoppingRun{sim: newReplicaSimulator(1), answers: map[string]gateway.Answer{}}
+				view := d.view(run.sim)
+				route := view.Config.Match("x", "/order/a")
+				route.Timeout, route.Target = 20*time.Second, target
+				run.host = d.startHosts(run.sim, view, 1)[0]
+				for key := range view.Replicas {
+					run.sim.behaviours[key] = behaviour{delay: target - 50*time.Millisecond}
+				}
+				run.host.StopAt(run.sim.now() + left)
+				run.order("late")
+				time.Sleep(left)
+				run.host.Stop()
+				run.running.Wait()
+				g.Expect(run.answers["late"].Code == result.Complete).To(Equal(served))
+				g.Expect(run.answers["late"].Code.Class()).NotTo(Equal(result.ClassUnknown))
+				g.Expect(run.ranOrders()["late"]).To(Equal(served))
+				time.Sleep(drainTime)
+			})
+		})
+	}
+}
