Answer HEAD requests

Cause: the response was read as that to a GET, whatever the method.

Change: it is read by the method of its request, and a response without a body ends with its head. The caller gets the replica's length.

Before: TestAnswerWithoutBodyEndsWithItsHead (to HEAD) and TestHeadRequestIsAnswered (504) failed. After: they pass, and a head that is cut at any byte is still no success.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -151,7 +151,7 @@
 		if err := c.awaitResponse(a); err != nil {
 			return c.failedReadReply(a, err), readErrorResult(a, err)
 		}
-		resp, body, err := c.readResponse()
+		resp, body, err := c.readResponse(a.req.Message.Method)
 		if err != nil {
 			return c.failedReadReply(a, err), readErrorResult(a, err)
 		}
@@ -242,10 +242,12 @@
 	return b
 }
 
-// readResponse reads one complete response and skips informational (1xx) ones.
-func (c *conn) readResponse() (*http.Response, []byte, error) {
+// readResponse reads one complete response to a request with the given method and skips
+// informational (1xx) ones.
+func (c *conn) readResponse(method string) (*http.Response, []byte, error) {
+	request := &http.Request{Method: method}
 	for {
-		resp, err := http.ReadResponse(c.reader, nil)
+		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -258,8 +260,12 @@
 	}
 }
 
-// readBody reads the whole body of a response, up to maxResponseBytes.
+// readBody reads the whole body of a response, up to maxResponseBytes. The response to HEAD
+// has none, whatever its length is said to be.
 func readBody(resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		return nil, nil
+	}
 	if resp.ContentLength > maxResponseBytes {
 		return nil, errResponseTooLarge
 	}
