Record the news of a peer once the replicas are known

Operators would see: a host that was restarted sends requests to a replica that has said that it leaves, or more than the rate limit that it names, though the fleet knows better.

Cause: the news came with the peer's state and was recorded before the view that follows from it. What is said of replicas counts for those of the view only, so that leaving replicas and rate limits were dropped, and the host did not ask again.

Ruled out: requests that crash replicas (they don't depend on the view).

Change: the news is recorded after the view has been published.

Before: TestNewsIsRecordedOnceTheReplicasAreKnown failed (news, then publish). After: it passes.

--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -76,7 +76,8 @@
 	Leaving       func() []string
 	RecordLeaving func([]string)
 	// News returns all that this host has learned, for a host that has just started, and
-	// RecordNews is called with what another host has.
+	// RecordNews is called with what another host has, after Publish with the view that
+	// came with it.
 	News       func() *discovery.News
 	RecordNews func(*discovery.News)
 	// CountDifference is called when this host has other replicas than a peer at the same
@@ -226,13 +227,19 @@
 	a.sendEvent(ctx, func(now time.Duration) discovery.Actions { return a.machine.HandleReadResult(now, result) })
 }
 
-// fetchFromPeer requests a peer's state and passes the result to the machine.
+// fetchFromPeer requests a peer's state and passes the result to the machine. The news with
+// it is recorded once the view that follows from the state has been published, since what
+// is said of replicas counts for those of the view only.
 func (a *Agent) fetchFromPeer(ctx context.Context, from string, request discovery.StateRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	state, err := a.fetchState(callCtx, from, &request)
-	if err == nil && state.News != nil {
-		a.opts.RecordNews(state.News)
-	}
 	a.sendEvent(ctx, func(now time.Duration) discovery.Actions { return a.machine.HandleState(now, from, state, err) })
+	if err != nil || state.News == nil {
+		return
+	}
+	a.sendEvent(ctx, func(time.Duration) discovery.Actions {
+		a.opts.RecordNews(state.News)
+		return discovery.Actions{}
+	})
 }
