Keep heartbeats with long IDs within a datagram

Found while odd entries were looked for: the key of a replica has up to 200 bytes, and three suspects with the IDs of their replicas can exceed the 1,400 bytes of a datagram. The receivers cut it and drop it, so that no other host hears of the sender as long as it tells of them.

Change: what does not fit is left out, suspects and members included; their turn comes again.

After: it passes.

--- a/internal/discoveryagent/transport.go
+++ b/internal/discoveryagent/transport.go
@@ -76,24 +76,35 @@
 	}
 }
 
-// encodeHeartbeat encodes a heartbeat. It leaves out rate limits and then leaving replicas
-// that do not fit into a datagram; their turn comes again.
+// encodeHeartbeat encodes a heartbeat. It leaves out what does not fit into a datagram; the
+// turn of that comes again.
 func encodeHeartbeat(h *discovery.Heartbeat) ([]byte, error) {
 	for {
 		data, err := msgpack.Marshal(h)
-		switch {
-		case err != nil || len(data) <= maxDatagram:
+		if err != nil || len(data) <= maxDatagram || !shrink(h) {
 			return data, err
-		case len(h.RateLimits) > 0:
-			h.RateLimits = h.RateLimits[:len(h.RateLimits)/2]
-		case len(h.LeavingReplicas) > 0:
-			h.LeavingReplicas = h.LeavingReplicas[:len(h.LeavingReplicas)/2]
-		default:
-			return data, nil
 		}
 	}
 }
 
+// shrink leaves out some of a heartbeat: rate limits first, then leaving replicas, then all
+// but one suspect and one member. It reports whether there was anything to leave out.
+func shrink(h *discovery.Heartbeat) bool {
+	switch {
+	case len(h.RateLimits) > 0:
+		h.RateLimits = h.RateLimits[:len(h.RateLimits)/2]
+	case len(h.LeavingReplicas) > 0:
+		h.LeavingReplicas = h.LeavingReplicas[:len(h.LeavingReplicas)/2]
+	case len(h.Suspects) > 1:
+		h.Suspects = h.Suspects[:len(h.Suspects)/2]
+	case len(h.Members) > 1:
+		h.Members = h.Members[:len(h.Members)/2]
+	default:
+		return false
+	}
+	return true
+}
+
 var _ peerlink.Handler = (*Agent)(nil)
 
 // ServeState implements peerlink.Handler.
--- a/internal/discoveryagent/transport_test.go
+++ b/internal/discoveryagent/transport_test.go
@@ -46,3 +46,27 @@
 		g.Expect(len(data)).To(BeNumerically("<=", maxDatagram))
 	}
 }
+
+// Guards against a host that no other hears of any more, since its heartbeats do not fit into
+// a datagram: IDs of replicas can be as long as the keys of the store.
+func TestHeartbeatWithLongIDsFitsIntoDatagram(t *testing.T) {
+	g := NewWithT(t)
+	const maxIDBytes = 192
+	h := discovery.Heartbeat{Format: discovery.FormatVersion, From: "255.255.255.255:65535"}
+	for i := range 3 {
+		id := strings.Repeat(fmt.Sprint(i), maxIDBytes)
+		h.Suspects = append(h.Suspects, peerwire.SuspectHint{Fingerprint: math.MaxUint64, Endpoints: []string{id, id}, Proven: true, TTL: time.Hour})
+		h.RateLimits = append(h.RateLimits, ratelimit.Hint{Endpoint: id, PerSecond: math.MaxFloat64, Age: time.Hour})
+		h.LeavingReplicas = append(h.LeavingReplicas, id)
+	}
+	for range 16 {
+		h.Members = append(h.Members, discovery.Member{Address: h.From, Start: math.MaxUint64, DataCentre: "fray-bentos", Age: time.Hour})
+	}
+	data, err := encodeHeartbeat(&h)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(data)).To(BeNumerically("<=", maxDatagram))
+	var received discovery.Heartbeat
+	g.Expect(msgpack.Unmarshal(data, &received)).To(Succeed())
+	g.Expect(received.Suspects).NotTo(BeEmpty())
+	g.Expect(received.Members).NotTo(BeEmpty())
+}
