Refuse orders that reached no replica as not run

Callers of orders would see: 504, an unknown outcome, for an order of which no byte was written to a replica, when the machines of the replicas are silent or all connections are in use.

Cause: an attempt that waits for a connection is refused at its deadline, which is that of the request. The request was given up at the same moment, with the attempt still open, and an open attempt may have run.

Change: an attempt without a connection is refused 10 ms before its deadline (a tenth of its budget at most), and a request that must run at most once is not sent again in the last 15 ms.

Before: TestRequestThatReachedNoReplicaIsSaidNotToHaveRun failed (an order with a timeout of 300 ms: unknown).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -14,6 +14,9 @@
 type attempt struct {
 	req      dispatch.Request
 	deadline time.Time
+	// writeBy is until when the attempt may wait for a connection. It is a little before
+	// deadline, so that its refusal comes before the request has to be answered.
+	writeBy time.Time
 	// done receives the reply. Only deliver calls it, and only once.
 	done func(dispatch.Reply)
 	// replicaAccepts finds out whether the replica accepts a connection.
@@ -30,7 +33,9 @@
 }
 
 func newAttempt(req dispatch.Request, done func(dispatch.Reply)) *attempt {
-	return &attempt{req: req, deadline: time.Now().Add(req.Budget), done: done, cancelSignal: make(chan struct{})}
+	deadline := time.Now().Add(req.Budget)
+	reserve := min(maxWriteReserve, req.Budget/writeReserveDivisor)
+	return &attempt{req: req, deadline: deadline, writeBy: deadline.Add(-reserve), done: done, cancelSignal: make(chan struct{})}
 }
 
 // deliver passes the reply to done, unless an earlier one was delivered.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -71,6 +71,10 @@
 	// workerIdleTimeout is how long a worker goroutine waits for its next task
 	// before it exits.
 	workerIdleTimeout = 5 * time.Second
+	// An attempt that has no connection is refused maxWriteReserve before its deadline, or
+	// 1/writeReserveDivisor of its budget if that is less.
+	maxWriteReserve     = 10 * time.Millisecond
+	writeReserveDivisor = 10
 	// maxDialsPerAttempt bounds the dials for one attempt.
 	maxDialsPerAttempt = 2
 )
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -147,10 +147,11 @@
 
 func (p *pool) dialForAttempt(a *attempt, dials *int) (*conn, result.Code) {
 	*dials++
-	if c, _ := p.dial(a.deadline); c != nil {
+	if c, _ := p.dial(a.writeBy); c != nil {
+		_ = c.SetDeadline(a.deadline)
 		return c, 0
 	}
-	if *dials < maxDialsPerAttempt && time.Now().Before(a.deadline) && !a.wasCancelled() {
+	if *dials < maxDialsPerAttempt && time.Now().Before(a.writeBy) && !a.wasCancelled() {
 		return p.acquire(a, dials)
 	}
 	return nil, result.ConnectFailed
--- a/internal/forward/waiters.go
+++ b/internal/forward/waiters.go
@@ -17,7 +17,7 @@
 
 // waitForConn waits until another attempt releases a connection or one is closed.
 func (p *pool) waitForConn(a *attempt, w waiter, dials *int) (*conn, result.Code) {
-	timer := time.NewTimer(time.Until(a.deadline))
+	timer := time.NewTimer(time.Until(a.writeBy))
 	defer timer.Stop()
 	select {
 	case c := <-w.ready:
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -16,6 +16,9 @@
 	// replyTransitTime is the time allowed for a reply to come back from its
 	// endpoint.
 	replyTransitTime = 3 * time.Millisecond
+	// onceReserve is the least time left for a further attempt of a request that must run at
+	// most once.
+	onceReserve = 15 * time.Millisecond
 	// maxRestarts bounds the restarts of a query on another snapshot.
 	maxRestarts = 3
 	// restartReserve is the least time left until the deadline that a restart on
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -118,12 +118,17 @@
 }
 
 // sendDueRetry sends the scheduled retry of a shard if it is due. If it cannot be
-// sent now, it is postponed or the shard is given up.
+// sent now, it is postponed or the shard is given up. A request that must run at most once
+// is not sent again so late that its outcome could not be known by the deadline.
 func (q *Query) sendDueRetry(now time.Duration, i int) {
 	s := &q.shards[i]
 	if !s.retryScheduled || now < s.retryAt {
 		return
 	}
+	if q.atMostOnce() && now >= q.params.Deadline-onceReserve {
+		q.giveUp(s, missingCode(s.reason))
+		return
+	}
 	if q.suspect && !q.maySendSuspect(now, s) {
 		s.retryAt = now + retryBackoffMin
 		return
