Let a listing of several calls take longer than one of them

Operators would see: while the store is slow, hosts that start, or whose history the store has dropped, get no replicas of a large deployment, as long as it is slow.

Found by reading: all calls of a listing shared the 0.7 s of one read.

An audit, for which the host has no need, keeps 0.7 s in all, so that the changes are followed meanwhile.

Before: TestListingOfSeveralSlowCallsIsRead (1.6 s) got no replicas in 10 s.

--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -22,7 +22,8 @@
 
 // Store reads the platform's store.
 type Store interface {
-	// All returns the configuration and all replicas.
+	// All returns the configuration and all replicas. It fails as soon as one of its calls
+	// gets no answer.
 	All(ctx context.Context) (discovery.StoreResponse, error)
 	// Changes waits for a change after a revision, at most for wait, and returns all
 	// changes after it. It fails with discovery.ErrHistoryCompacted if the store no
@@ -33,11 +34,14 @@
 // eventStateChange is the event of log lines about changes of the host's state.
 const eventStateChange = "belief"
 
-// readTimeout bounds a call to the store, in addition to the time that the store
-// may wait for a change. fetchTimeout bounds a request for a peer's state.
+// readTimeout bounds a read of the store, in addition to the time that the store may wait
+// for a change. listingTimeout bounds one of all replicas, which takes several calls; an
+// audit has readTimeout, since this host has the replicas. fetchTimeout bounds a request for
+// a peer's state.
 const (
-	readTimeout  = 700 * time.Millisecond
-	fetchTimeout = 500 * time.Millisecond
+	readTimeout    = 700 * time.Millisecond
+	listingTimeout = 5 * time.Second
+	fetchTimeout   = 500 * time.Millisecond
 )
 
 // Options configures an Agent.
@@ -215,7 +219,11 @@
 // readStore reads the store and passes the result to the machine.
 func (a *Agent) readStore(ctx context.Context, request discovery.ReadRequest) {
 	result := discovery.ReadResult{Request: request, Started: a.opts.Now()}
-	callCtx, cancel := context.WithTimeout(ctx, request.Wait+readTimeout)
+	timeout := request.Wait + readTimeout
+	if request.After == 0 && !request.Audit {
+		timeout = listingTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var response discovery.StoreResponse
 	if request.After == 0 {
--- a/internal/discoveryagent/agent_test.go
+++ b/internal/discoveryagent/agent_test.go
@@ -25,13 +25,21 @@
 
 var errNoStore = errors.New("store does not answer")
 
-// fakeStore answers with one replica, or not at all.
-type fakeStore struct{ down bool }
+// fakeStore answers with one replica, or not at all. A listing takes the time listing.
+type fakeStore struct {
+	down    bool
+	listing time.Duration
+}
 
-func (s fakeStore) All(context.Context) (discovery.StoreResponse, error) {
+func (s fakeStore) All(ctx context.Context) (discovery.StoreResponse, error) {
 	if s.down {
 		return discovery.StoreResponse{}, errNoStore
 	}
+	select {
+	case <-time.After(s.listing):
+	case <-ctx.Done():
+		return discovery.StoreResponse{}, ctx.Err()
+	}
 	config := &routing.Config{Version: 1}
 	config.IndexRoutes()
 	replica := &routing.Replica{ID: "a", Address: "127.0.0.1:1", Service: "s", Slots: 1}
@@ -118,3 +126,12 @@
 	g.Eventually(second.all, 20*time.Second).Should(ContainElements("publish", "news"))
 	g.Expect(second.all()[0]).To(Equal("publish"))
 }
+
+// Guards against a host that never gets the replicas of a large deployment from a slow store:
+// a listing takes several calls, each of which may take long.
+func TestListingOfSeveralSlowCallsIsRead(t *testing.T) {
+	g := NewWithT(t)
+	var log callLog
+	startAgent(t, fakeStore{listing: 1600 * time.Millisecond}, &log)
+	g.Eventually(log.all, 10*time.Second).Should(ContainElement("publish"))
+}
