Look at the caller and the deadline last before an attempt is written

Change: the replica is asked about first, then the caller, then the time.

Before: TestCallerAndDeadlineAreLookedAtLast failed in both cases (the request was written). After: it passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumlug/gypsumlug/internal/dispatch"
+	"github.com/gypsumlug/gypsumlug/internal/result"
 )
 
 // attempt is one request to a replica, which is written at most once.
@@ -48,6 +49,24 @@
 	a.done(reply)
 }
 
+// refusalBeforeWrite returns the code to refuse the attempt with right before it would be
+// written, or zero. The caller and the deadline are looked at last: a host that is short of
+// processor time may take long for the check before them.
+func (a *attempt) refusalBeforeWrite() result.Code {
+	if a.req.Barred != nil {
+		if code := a.req.Barred(); code != 0 {
+			return code
+		}
+	}
+	if a.req.Departed != nil && a.req.Departed() {
+		return result.CallerGone
+	}
+	if !time.Now().Before(a.deadline) {
+		return result.ExpiredBeforeSend
+	}
+	return 0
+}
+
 // bind assigns the attempt to a connection. It reports false if the attempt was
 // cancelled, and then it must not be written.
 func (a *attempt) bind(c *conn) bool {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -115,19 +115,10 @@
 
 // roundTrip writes the attempt at most once and reads the reply to it.
 func (c *conn) roundTrip(a *attempt, codec Codec) (dispatch.Reply, connResult) {
-	remaining := time.Until(a.deadline)
-	if remaining <= 0 {
-		return a.req.RefusedReply(result.ExpiredBeforeSend), reusable
-	}
-	c.request = codec.Encode(c.request[:0], &a.req, remaining)
-	if a.req.Departed != nil && a.req.Departed() {
-		return a.req.RefusedReply(result.CallerGone), reusable
-	}
-	if a.req.Barred != nil {
-		if code := a.req.Barred(); code != 0 {
-			return a.req.RefusedReply(code), reusable
-		}
+	if code := a.refusalBeforeWrite(); code != 0 {
+		return a.req.RefusedReply(code), reusable
 	}
+	c.request = codec.Encode(c.request[:0], &a.req, time.Until(a.deadline))
 	c.unanswered = true
 	c.sent.add(time.Now(), a.req.Message.ID)
 	n, err := c.Write(c.request)
