Blame a relay that does not know an endpoint, not the endpoint

Callers of orders would see: 321 during a rolling restart, with most of their time left.

The cause showed with the reason that names, beside cold builds: each endpoint refused as unknown-endpoint.

Cause: a host that is started at the address of another one is a relay for its peers before it has a configuration, and refuses each endpoint as unknown. The coordinator tried the next endpoint through the same relay, and gave up when all had refused.

Ruled out: full endpoints, a spent retry budget, connections that fail (the reason names none).

Change: such a refusal by another host is one of the relay (311): it is avoided for two seconds, and the endpoint stays a candidate, for orders and queries alike. The spec names the failures before it repeats the submits.

--- a/internal/coordinator/fault_test.go
+++ b/internal/coordinator/fault_test.go
@@ -310,6 +310,18 @@
 		Expect(h.dispatched[1].To).NotTo(Equal(testPeer))
 		h.replySuccess()
 	}, result.Done, result.Replayed, 2),
+	Entry("was refused by relays that do not know the endpoint yet", func(h *harness) {
+		h.reply(h.lastAttempt().RefusedReply(result.UnknownEndpoint))
+		Expect(h.dispatched[1].To).NotTo(Equal(testPeer))
+		h.reply(h.lastAttempt().RefusedReply(result.UnknownEndpoint))
+		Expect(h.dispatched[2].To).To(BeEmpty())
+		h.replySuccess()
+	}, result.Done, result.Replayed, 3),
+	Entry("was refused since no host knows the endpoint", func(h *harness) {
+		for range 3 {
+			h.reply(h.lastAttempt().RefusedReply(result.UnknownEndpoint))
+		}
+	}, result.AllRefused, result.PermitBurnt, 3),
 	Entry("was written only in part", func(h *harness) { h.apply(h.m.AttemptsLost(h.now, testPeer, h.lastAttemptKeys())) }, result.OutcomeUnknown, result.OutcomeUnknown, 1),
 	Entry("was written, after which the connection to the relay broke", func(h *harness) {
 		h.apply(h.m.AttemptsWritten(h.now, testPeer, h.lastAttemptKeys()))
--- a/internal/coordinator/replies.go
+++ b/internal/coordinator/replies.go
@@ -19,15 +19,20 @@
 }
 
 // handleReply ends an attempt and delivers its reply to the query or submission
-// that the attempt belongs to.
+// that the attempt belongs to. A relay on another host that does not know the endpoint has
+// another configuration, or none yet since it has just started: that says nothing about
+// the endpoint.
 func (m *Machine) handleReply(now time.Duration, r dispatch.Reply) {
 	attempt := m.outstanding[r.Key]
 	known := attempt != nil
 	if known {
 		delete(m.outstanding, r.Key)
 		r.Endpoint = attempt.endpoint
+		if attempt.relayAddress != "" && r.Code == result.UnknownEndpoint {
+			r.Code = result.NotReady
+		}
 		m.endpoints.RecordReply(now, r, now-attempt.sentAt)
-		if r.Code == result.Stopping {
+		if r.Code == result.Stopping || r.Code == result.NotReady {
 			m.avoidRelay(now, attempt.relayAddress)
 		}
 	}
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -66,6 +66,7 @@
 			c.startHost(address)
 			c.waitReady()
 			t.setReadyHosts(slices.Clone(c.hosts))
+			Expect(t.failuresSoFar()).To(BeEmpty())
 			issued := issuedBy(h, t.results())
 			Expect(issued).NotTo(BeEmpty())
 			t.expectReplays(issued)
--- a/internal/daemon/traffic_test.go
+++ b/internal/daemon/traffic_test.go
@@ -131,6 +131,13 @@
 	t.failures = append(t.failures, fmt.Sprintf(format, args...))
 }
 
+// failuresSoFar returns a copy of the failures.
+func (t *traffic) failuresSoFar() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.failures)
+}
+
 func (t *traffic) query() {
 	const text = "gel"
 	h := t.nextHost()
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -11,7 +11,7 @@
 // endpoint, which may then be tried again through another relay.
 func RelayFault(code result.Code) bool {
 	switch code {
-	case result.PeerUnreachable, result.PeerQueueFull, result.Stopping, result.RelayLost:
+	case result.PeerUnreachable, result.PeerQueueFull, result.Stopping, result.NotReady, result.RelayLost:
 		return true
 	default:
 		return false
