Read long bodies in pieces that are used again

Operators reported: bytes without end fill the memory of the machine that called.

The bound counts what responses hold; a body that grows leaves several times that as garbage, which a host that is short of processor time collects too late.

Change: bodies over 16 KB are read in pieces from a pool, and copied once, when they are whole.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -265,12 +265,7 @@
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	// A longer body takes memory as it arrives, whatever its length is said to be.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, err
+	return readLongBody(resp.Body)
 }
 
 // failedReadReply returns the reply for an attempt whose response could not be read.
