--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -39,8 +39,8 @@
 	// minHosts is the number of hosts among which limits are divided if fewer are known.
 	minHosts = 8
 	// responseMemoryDivisor is the fraction of the host's memory that the responses of
-	// replicas may take: a response that grows occupies up to three times what it is
-	// charged. defaultMemoryMB is assumed if the settings name no memory.
+	// replicas may take: a long response occupies twice what it is charged while it is
+	// copied. defaultMemoryMB is assumed if the settings name no memory.
 	responseMemoryDivisor = 8
 	defaultMemoryMB       = 256
 	// warmupDelay is the time for opening the first connections before the host becomes
