Name the rounds left of a host that leaves, the limit of a read, and the code of a relay

Read as a newcomer: a field had the name of its constant, the time limit of a read stood in the middle of it, and the handling of a reply explained a relay's refusal. Names and moves only.

--- a/internal/coordinator/replies.go
+++ b/internal/coordinator/replies.go
@@ -19,18 +19,14 @@
 }
 
 // handleReply ends an attempt and delivers its reply to the query or submission
-// that the attempt belongs to. A relay on another host that does not know the endpoint has
-// another configuration, or none yet since it has just started: that says nothing about
-// the endpoint.
+// that the attempt belongs to.
 func (m *Machine) handleReply(now time.Duration, r dispatch.Reply) {
 	attempt := m.outstanding[r.Key]
 	known := attempt != nil
 	if known {
 		delete(m.outstanding, r.Key)
 		r.Endpoint = attempt.endpoint
-		if attempt.relayAddress != "" && r.Code == result.UnknownEndpoint {
-			r.Code = result.NotReady
-		}
+		r.Code = attempt.replyCode(r.Code)
 		m.endpoints.RecordReply(now, r, now-attempt.sentAt)
 		if r.Code == result.Stopping || r.Code == result.NotReady {
 			m.avoidRelay(now, attempt.relayAddress)
@@ -47,6 +43,16 @@
 	}
 }
 
+// replyCode returns the code of a reply to the attempt. A relay on another host that does
+// not know the endpoint has another configuration, or none yet since it has just started:
+// that says nothing about the endpoint, which this host's configuration has.
+func (o *outstanding) replyCode(code result.Code) result.Code {
+	if o.relayAddress != "" && code == result.UnknownEndpoint {
+		return result.NotReady
+	}
+	return code
+}
+
 // handleStrayReply counts a reply to an attempt that is not outstanding, or
 // whose submission has ended. If the attempt belonged to a submit, its
 // outcome still goes to the ledger.
--- a/internal/discovery/machine.go
+++ b/internal/discovery/machine.go
@@ -112,8 +112,8 @@
 	nextFetch     time.Duration
 	nextHeartbeat time.Duration
 	leaving       bool
-	// leavingRounds is the number of further rounds of heartbeats that go to all hosts.
-	leavingRounds int
+	// leavingRoundsLeft is the number of further rounds of heartbeats that go to all hosts.
+	leavingRoundsLeft int
 	// heardOutsideAt is when a heartbeat of a host of another data centre came last;
 	// zero if none has.
 	heardOutsideAt time.Duration
@@ -176,7 +176,7 @@
 // Leave announces that the host is stopping.
 func (m *Machine) Leave(now time.Duration) Actions {
 	m.leaving = true
-	m.leavingRounds = leavingRounds
+	m.leavingRoundsLeft = leavingRounds
 	m.nextHeartbeat = now
 	m.queueHeartbeatsIfDue(now)
 	return m.takeActions()
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -166,8 +166,8 @@
 // nextRound returns the addresses to which the next round of heartbeats goes: all hosts in
 // the first rounds of one that leaves, else some random ones and a seed.
 func (m *Machine) nextRound() []string {
-	if m.leavingRounds > 0 {
-		m.leavingRounds--
+	if m.leavingRoundsLeft > 0 {
+		m.leavingRoundsLeft--
 		return m.members.addresses()
 	}
 	to := m.members.randomAddresses(heartbeatFanout, m.rng)
--- a/internal/discoveryagent/agent.go
+++ b/internal/discoveryagent/agent.go
@@ -216,14 +216,18 @@
 	}
 }
 
+// readLimit returns the time that a read of the store may take.
+func readLimit(request discovery.ReadRequest) time.Duration {
+	if request.After == 0 && !request.Audit {
+		return listingTimeout
+	}
+	return request.Wait + readTimeout
+}
+
 // readStore reads the store and passes the result to the machine.
 func (a *Agent) readStore(ctx context.Context, request discovery.ReadRequest) {
 	result := discovery.ReadResult{Request: request, Started: a.opts.Now()}
-	timeout := request.Wait + readTimeout
-	if request.After == 0 && !request.Audit {
-		timeout = listingTimeout
-	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, readLimit(request))
 	defer cancel()
 	var response discovery.StoreResponse
 	if request.After == 0 {
