--- a/review/6/main.go
+++ b/review/6/main.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	hostCount = 4
+	hostCount = 3
 	// The service as in the site file; the requests are as many as those of the site's least
 	// frequent kind.
 	replicaCount   = 5
@@ -51,7 +51,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s := &poison.Servers{Platform: platform, Record: record, DeadlyQuery: deadlyQuery}
+	s := &poison.Servers{Platform: platform, Record: record, DeadlyQuery: deadlyQuery, BackAfter: 2 * time.Second}
 	for range replicaCount {
 		if err := s.Start(service); err != nil {
 			return 0, err
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s := &poison.Servers{Platform: platform, Record: record, DeadlyQuery: deadlyQuery}
+	s := &poison.Servers{Platform: platform, Record: record, DeadlyQuery: deadlyQuery, BackAfter: 2 * time.Second}
 	var shards []string
 	for i := range shardCount {
 		shards = append(shards, fmt.Sprintf("sala-%d", i))
--- a/review/poison/poison.go
+++ b/review/poison/poison.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Package poison holds the stand-ins of cases 6 and 7: replicas that crash when they begin to
-// run a certain request, and requesters with addresses of their own.
+// Package poison holds the stand-ins of cases 6 to 8: replicas that crash, some when they begin
+// to run a certain request, and requesters with addresses of their own.
 package poison
 
 import (
@@ -20,9 +20,7 @@
 )
 
 const (
-	// backAfter is when a crashed replica is back, with a new ID, and lapseAfter when the
-	// store drops the entry of the old one: three heartbeats.
-	backAfter  = 2 * time.Second
+	// lapseAfter is when the store drops the entry of a crashed replica: three heartbeats.
 	lapseAfter = 3600 * time.Millisecond
 	// fromHost is the field by which requesters tell replicas which host they called.
 	fromHost = "Via-Host"
@@ -46,12 +44,28 @@
 type Servers struct {
 	Platform *lab.Platform
 	Record   *lab.Record
-	// DeadlyQuery is the query of the request that crashes the replicas that begin to run it.
+	// DeadlyQuery is the query of the request that crashes the replicas that begin to run it;
+	// empty if there is none. BackAfter is when a crashed replica is back, with a new ID.
 	DeadlyQuery string
+	BackAfter   time.Duration
 
 	started atomic.Int64
 	mu      sync.Mutex
 	ran     []Execution
+	running []*replica
+}
+
+// Crash crashes a share of the replicas at one moment.
+func (s *Servers) Crash(share float64) {
+	s.mu.Lock()
+	rand.Shuffle(len(s.running), func(i, j int) { s.running[i], s.running[j] = s.running[j], s.running[i] })
+	n := int(share * float64(len(s.running)))
+	chosen := s.running[:n:n]
+	s.running = append([]*replica(nil), s.running[n:]...)
+	s.mu.Unlock()
+	for _, r := range chosen {
+		r.crash()
+	}
 }
 
 // Executions returns what replicas began to run.
@@ -80,6 +94,9 @@
 	r := &replica{id: fmt.Sprintf("i-%d", s.started.Add(1)), service: service, servers: s, slots: make(chan struct{}, service.Slots)}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(l) }()
+	s.mu.Lock()
+	s.running = append(s.running, r)
+	s.mu.Unlock()
 	s.Platform.Put(lab.Names.ReplicaPrefix+r.id, map[string]any{
 		"service": service.Name, "address": l.Addr().String(), "zone": "salto", "version": "v1", "slots": service.Slots, "state": "ready",
 		lab.Names.ColdRemaining: 0, "sequence": 1, "born": time.Now().UnixMilli(),
@@ -94,7 +111,7 @@
 	}
 	r.servers.Record.Line("%s crashes", r.id)
 	_ = r.server.Close()
-	time.AfterFunc(backAfter, func() { _ = r.servers.Start(r.service) })
+	time.AfterFunc(r.servers.BackAfter, func() { _ = r.servers.Start(r.service) })
 	time.AfterFunc(lapseAfter, func() { r.servers.Platform.Delete(lab.Names.ReplicaPrefix + r.id) })
 }
 
@@ -136,7 +153,7 @@
 
 // begin records that the replica begins to run a request, and reports whether it crashes.
 func (r *replica) begin(id string, req *http.Request) bool {
-	e := Execution{Replica: r.id, Request: id, Via: req.Header.Get(fromHost), Deadly: req.URL.RawQuery == r.servers.DeadlyQuery, At: time.Now()}
+	e := Execution{Replica: r.id, Request: id, Via: req.Header.Get(fromHost), Deadly: r.servers.DeadlyQuery != "" && req.URL.RawQuery == r.servers.DeadlyQuery, At: time.Now()}
 	r.servers.mu.Lock()
 	r.servers.ran = append(r.servers.ran, e)
 	r.servers.mu.Unlock()
